--- /dev/null
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/configuration/DomainShare.java
@@ -0,0 +1,20 @@
+package org.plantainferry.api.configuration;
+
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.Preconditions;
+
+/**
+ * Describes a failure domain and its part of every workspace's rate and burst.
+ *
+ * @param name the failure domain
+ * @param shareSlots the number of equal shares that its instances divide among them
+ * @since 0.1
+ */
+public record DomainShare(FailureDomain name, int shareSlots) {
+    /** Checks the range. */
+    public DomainShare {
+        Preconditions.notNull(name, "failure domain name");
+        Preconditions.condition(
+                shareSlots >= 1, "shareSlots of failure domain " + name + " must be at least 1");
+    }
+}
--- /dev/null
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/configuration/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Defines the configuration, its parts, and the release notes that change it.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.api.configuration;
--- /dev/null
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Gives operators a command line.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.cli;
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/PeerHandler.java
@@ -0,0 +1,18 @@
+package org.plantainferry.network.peer;
+
+import java.util.concurrent.CompletableFuture;
+import org.plantainferry.network.peer.generated.PeerMessage;
+
+/**
+ * Handles messages from other instances; called on network threads and must not block.
+ *
+ * @since 0.1
+ */
+public interface PeerHandler {
+    /**
+     * Handles one message.
+     *
+     * @return the answer to a call; a future of null for messages without an answer
+     */
+    CompletableFuture<PeerMessage> handle(PeerMessage message);
+}
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Carries messages between instances.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.network.peer;
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Talks to the platform's object store.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.network.store;
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Provides stand-ins, history checkers, scenarios and load for developers.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.verification;
