Add settings, log events, callers' and operators' listeners of the daemon

The settings reader reports all mistakes in one pass. The callers' listener reads and authenticates requests and refuses oversized bodies early. Not yet connected to the decisions of the engine.

--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Runs the control thread, the only owner of control state.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.daemon.control;
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerHttpHandler.java
@@ -0,0 +1,123 @@
+package org.plantainferry.daemon.http;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.daemon.log.LogEvent;
+import org.plantainferry.daemon.traffic.CallerAnswer;
+import org.plantainferry.daemon.traffic.CallerRequest;
+import org.plantainferry.daemon.traffic.RequestGateway;
+
+/** Serves callers: reads a request, hands it to the gateway, writes the answer. */
+final class CallerHttpHandler implements HttpHandler {
+    static final int BODY_MAX_BYTES = 64 * 1_024;
+    private static final String JSON = "application/json";
+
+    private final CallerRequestReader mReader;
+    private final RequestGateway mGateway;
+    private final RequestTracker mTracker;
+    private final InstanceId mInstance;
+    private final LongSupplier mClock;
+
+    CallerHttpHandler(
+            CallerRequestReader reader,
+            RequestGateway gateway,
+            RequestTracker tracker,
+            InstanceId instance,
+            LongSupplier clock) {
+        mReader = reader;
+        mGateway = gateway;
+        mTracker = tracker;
+        mInstance = instance;
+        mClock = clock;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        long arrivedNanos = mClock.getAsLong();
+        if (!exchange.getRequestMethod().equals(Methods.POST)) {
+            refuse(exchange, ErrorCode.REQUEST_MALFORMED, "the method must be POST");
+            return;
+        }
+        if (exchange.getRequestContentLength() > BODY_MAX_BYTES) {
+            exchange.setPersistent(false);
+            refuse(exchange, ErrorCode.BODY_TOO_LARGE, "the body exceeds " + BODY_MAX_BYTES);
+            return;
+        }
+        exchange.setMaxEntitySize(BODY_MAX_BYTES);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (receiver, body) -> start(receiver, body, arrivedNanos),
+                        CallerHttpHandler::refuseUnreadable);
+    }
+
+    private void start(HttpServerExchange exchange, byte[] body, long arrivedNanos) {
+        CallerRequest request;
+        try {
+            request = mReader.read(exchange, body, arrivedNanos);
+        } catch (PlantainferryException e) {
+            write(exchange, CallerAnswer.refusal(e));
+            return;
+        }
+        RequestTracker.Started started = mTracker.start(request, arrivedNanos);
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                        mGateway.handle(request)
+                                .whenComplete(
+                                        (answer, failure) ->
+                                                finish(exchange, started, answer, failure)));
+    }
+
+    private void finish(
+            HttpServerExchange exchange,
+            RequestTracker.Started started,
+            CallerAnswer answer,
+            Throwable failure) {
+        CallerAnswer given = answer;
+        if (failure != null) {
+            LogEvent.REQUEST_ERROR.logWithCause(failure, failure.getMessage());
+            given = CallerAnswer.failure(failure);
+        }
+        exchange.getResponseHeaders().put(CallerHeaders.INSTANCE, mInstance.value());
+        write(exchange, given);
+        started.finish(given, mClock.getAsLong());
+    }
+
+    private static void refuseUnreadable(HttpServerExchange exchange, IOException error) {
+        if (error instanceof RequestTooBigException) {
+            exchange.setPersistent(false);
+            refuse(exchange, ErrorCode.BODY_TOO_LARGE, "the body exceeds " + BODY_MAX_BYTES);
+            return;
+        }
+        refuse(exchange, ErrorCode.REQUEST_MALFORMED, "the body ended early");
+    }
+
+    static void refuse(HttpServerExchange exchange, ErrorCode code, String message) {
+        write(exchange, CallerAnswer.refusal(new PlantainferryException(code, message)));
+    }
+
+    private static void write(HttpServerExchange exchange, CallerAnswer answer) {
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        Verdict verdict = answer.verdict();
+        exchange.getResponseHeaders().put(CallerHeaders.VERDICT, verdict.name());
+        answer.session()
+                .ifPresent(text -> exchange.getResponseHeaders().put(CallerHeaders.SESSION, text));
+        if (answer.retryAfterMillis() > 0) {
+            long seconds = TimeUnit.MILLISECONDS.toSeconds(answer.retryAfterMillis() + 999);
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+        }
+        exchange.getResponseSender().send(answer.body());
+    }
+}
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsReader.java
@@ -0,0 +1,285 @@
+package org.plantainferry.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.json.Json;
+
+/**
+ * Reads a settings file and reports all mistakes in one pass.
+ *
+ * @since 0.1
+ */
+public final class SettingsReader {
+    private static final Pattern IP_NUMBER =
+            Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-f:]+]");
+    private static final int PORT_MAX = 65_535;
+    private static final long DRAIN_SECONDS_DEFAULT = 30;
+    private static final long DRAIN_SECONDS_MAX = 3_600;
+    private static final long DEADLINE_MILLIS_DEFAULT = 5_000;
+    private static final long DEADLINE_MILLIS_MAX = 600_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final List<SettingsMistake> mMistakes = new ArrayList<>();
+    private final Path mDirectory;
+
+    private SettingsReader(Path directory) {
+        mDirectory = directory;
+    }
+
+    /**
+     * Reads and checks a file; relative paths in it start at its directory.
+     *
+     * @throws PlantainferryException with {@link ErrorCode#CONFIGURATION_INVALID} and all mistakes
+     */
+    public static DaemonSettings read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new PlantainferryException(
+                    ErrorCode.CONFIGURATION_INVALID, "cannot read " + file + ": " + e, e);
+        }
+        Path directory = file.toAbsolutePath().getParent();
+        return new SettingsReader(directory).parse(text);
+    }
+
+    private DaemonSettings parse(String text) {
+        JsonNode root = tree(text);
+        SettingsFile.reportUnknown(root, SettingsFile.PROPERTIES, "", mMistakes);
+        Optional<InstanceId> instance = named(root, SettingsFile.INSTANCE, InstanceId::new);
+        Optional<FailureDomain> domain =
+                named(root, SettingsFile.FAILURE_DOMAIN, FailureDomain::new);
+        String local =
+                matching(root, SettingsFile.LOCAL_ADDRESS, IP_NUMBER, "must be an IP number");
+        Optional<ListenAddress> caller = address(root, SettingsFile.CALLER_LISTENER);
+        Optional<ListenAddress> peer = address(root, SettingsFile.PEER_LISTENER);
+        Optional<ListenAddress> operator = address(root, SettingsFile.OPERATOR_LISTENER);
+        Optional<ListenAddress> store = address(root, SettingsFile.STORE);
+        List<Path> secrets = secretFiles(root);
+        long drainMillis = drainMillis(root);
+        long deadline = deadlineMillis(root);
+        boolean json = choice(root, SettingsFile.LOG_FORMAT, "plain", "json").equals("json");
+        String policy = choice(root, SettingsFile.POLICY, "standard", "simple");
+        Optional<DaemonSettings.TlsSettings> tls = tls(root);
+        if (!mMistakes.isEmpty()) {
+            throw new PlantainferryException(ErrorCode.CONFIGURATION_INVALID, describe());
+        }
+        return new DaemonSettings(
+                instance.orElseThrow(),
+                domain.orElseThrow(),
+                local,
+                caller.orElseThrow(),
+                peer.orElseThrow(),
+                operator.orElseThrow(),
+                store.orElseThrow().toString(),
+                secrets,
+                drainMillis,
+                deadline,
+                json,
+                DaemonSettings.Policy.valueOf(policy.toUpperCase(Locale.ROOT)),
+                tls);
+    }
+
+    private long drainMillis(JsonNode root) {
+        long seconds =
+                number(
+                        root,
+                        SettingsFile.DRAIN_SECONDS,
+                        0,
+                        DRAIN_SECONDS_MAX,
+                        DRAIN_SECONDS_DEFAULT);
+        return seconds * MILLIS_PER_SECOND;
+    }
+
+    private long deadlineMillis(JsonNode root) {
+        return number(
+                root,
+                SettingsFile.DEFAULT_DEADLINE_MILLIS,
+                1,
+                DEADLINE_MILLIS_MAX,
+                DEADLINE_MILLIS_DEFAULT);
+    }
+
+    private String describe() {
+        StringBuilder text = new StringBuilder("the settings have mistakes:");
+        mMistakes.forEach(mistake -> text.append("\n  ").append(mistake));
+        return text.toString();
+    }
+
+    private static JsonNode tree(String text) {
+        try {
+            JsonNode root = Json.withComments().readTree(text);
+            if (root == null || !root.isObject()) {
+                throw new PlantainferryException(
+                        ErrorCode.CONFIGURATION_INVALID, "the settings must be a JSON object");
+            }
+            return root;
+        } catch (JsonProcessingException e) {
+            throw new PlantainferryException(
+                    ErrorCode.CONFIGURATION_INVALID,
+                    "the settings are not JSON: "
+                            + e.getOriginalMessage()
+                            + " (line "
+                            + e.getLocation().getLineNr()
+                            + ")",
+                    e);
+        }
+    }
+
+    private Optional<String> text(JsonNode object, String name, String prefix) {
+        JsonNode node = object.get(name);
+        if (node == null) {
+            mMistakes.add(new SettingsMistake(prefix + name, "", "is missing"));
+            return Optional.empty();
+        }
+        if (!node.isTextual()) {
+            mMistakes.add(new SettingsMistake(prefix + name, node.toString(), "must be a string"));
+            return Optional.empty();
+        }
+        return Optional.of(node.textValue());
+    }
+
+    private <T> Optional<T> named(JsonNode root, String name, Function<String, T> constructor) {
+        Optional<String> value = text(root, name, "");
+        if (value.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(constructor.apply(value.get()));
+        } catch (PlantainferryException e) {
+            mMistakes.add(new SettingsMistake(name, root.get(name).toString(), e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private String matching(JsonNode root, String name, Pattern pattern, String reason) {
+        Optional<String> value = text(root, name, "");
+        if (value.isPresent() && !pattern.matcher(value.get()).matches()) {
+            mMistakes.add(new SettingsMistake(name, root.get(name).toString(), reason));
+        }
+        return value.orElse("");
+    }
+
+    private Optional<ListenAddress> address(JsonNode root, String name) {
+        Optional<String> value = text(root, name, "");
+        if (value.isEmpty()) {
+            return Optional.empty();
+        }
+        int colon = value.get().lastIndexOf(':');
+        String host = colon < 0 ? "" : value.get().substring(0, colon);
+        String port = value.get().substring(colon + 1);
+        boolean valid =
+                IP_NUMBER.matcher(host).matches()
+                        && port.matches("[0-9]{1,5}")
+                        && Integer.parseInt(port) >= 1
+                        && Integer.parseInt(port) <= PORT_MAX;
+        if (!valid) {
+            mMistakes.add(new SettingsMistake(name, root.get(name).toString(), "must be IP:PORT"));
+            return Optional.empty();
+        }
+        return Optional.of(new ListenAddress(host, Integer.parseInt(port)));
+    }
+
+    private long number(JsonNode root, String name, long least, long most, long absent) {
+        JsonNode node = root.get(name);
+        if (node == null) {
+            return absent;
+        }
+        if (!node.isIntegralNumber() || node.longValue() < least || node.longValue() > most) {
+            mMistakes.add(
+                    new SettingsMistake(
+                            name,
+                            node.toString(),
+                            "must be a whole number from " + least + " to " + most));
+            return absent;
+        }
+        return node.longValue();
+    }
+
+    private String choice(JsonNode root, String name, String absent, String other) {
+        JsonNode node = root.get(name);
+        if (node == null) {
+            return absent;
+        }
+        String value = node.asText();
+        if (!value.equals(absent) && !value.equals(other)) {
+            mMistakes.add(
+                    new SettingsMistake(
+                            name,
+                            node.toString(),
+                            "must be \"" + absent + "\" or \"" + other + "\""));
+        }
+        return value;
+    }
+
+    private List<Path> secretFiles(JsonNode root) {
+        JsonNode node = root.get(SettingsFile.SESSION_SECRET_FILES);
+        List<Path> files = new ArrayList<>();
+        if (node == null || !node.isArray() || node.isEmpty()) {
+            mMistakes.add(
+                    new SettingsMistake(
+                            SettingsFile.SESSION_SECRET_FILES,
+                            node == null ? "" : node.toString(),
+                            "must name at least one file"));
+            return files;
+        }
+        for (int index = 0; index < node.size(); index++) {
+            String place = SettingsFile.SESSION_SECRET_FILES + "[" + index + "]";
+            readableFile(place, node.get(index)).ifPresent(files::add);
+        }
+        return files;
+    }
+
+    private Optional<Path> readableFile(String place, JsonNode node) {
+        if (!node.isTextual()) {
+            mMistakes.add(new SettingsMistake(place, node.toString(), "must be a string"));
+            return Optional.empty();
+        }
+        Path file = mDirectory.resolve(node.textValue());
+        if (!Files.isReadable(file)) {
+            mMistakes.add(new SettingsMistake(place, node.toString(), "is not a readable file"));
+            return Optional.empty();
+        }
+        return Optional.of(file);
+    }
+
+    private Optional<DaemonSettings.TlsSettings> tls(JsonNode root) {
+        JsonNode node = root.get(SettingsFile.TLS);
+        if (node == null) {
+            return Optional.empty();
+        }
+        String prefix = SettingsFile.TLS + ".";
+        if (!node.isObject()) {
+            mMistakes.add(
+                    new SettingsMistake(SettingsFile.TLS, node.toString(), "must be an object"));
+            return Optional.empty();
+        }
+        SettingsFile.reportUnknown(node, SettingsFile.TLS_PROPERTIES, prefix, mMistakes);
+        Optional<Path> keyStore = tlsFile(node, SettingsFile.KEY_STORE_FILE, prefix);
+        Optional<Path> trustStore = tlsFile(node, SettingsFile.TRUST_STORE_FILE, prefix);
+        Optional<Path> password = tlsFile(node, SettingsFile.PASSWORD_FILE, prefix);
+        if (keyStore.isEmpty() || trustStore.isEmpty() || password.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new DaemonSettings.TlsSettings(keyStore.get(), trustStore.get(), password.get()));
+    }
+
+    private Optional<Path> tlsFile(JsonNode node, String name, String prefix) {
+        return text(node, name, prefix)
+                .flatMap(value -> readableFile(prefix + name, node.get(name)));
+    }
+}
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Reads and checks the settings of an instance.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.daemon.settings;
