--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ConcurrencyLimit.java
@@ -0,0 +1,125 @@
+package org.plantainferry.engine.admission;
+
+import org.plantainferry.api.Preconditions;
+
+/**
+ * Bounds the requests in flight to one server and adapts the bound to what the server can take.
+ *
+ * <p>The limit grows by one for each limit's worth of successes while it is fully used. It shrinks
+ * when the server says that it is busy, or when its latency has grown to several times its least.
+ *
+ * @since 0.1
+ */
+public final class ConcurrencyLimit {
+    /** Says how a request in flight ended. */
+    public enum Outcome {
+        /** The server answered. */
+        ANSWERED,
+        /** The server refused because it is busy. */
+        BUSY,
+        /** No answer came, which says nothing about the load of the server. */
+        FAILED
+    }
+
+    private static final double BUSY_FACTOR = 0.7;
+    private static final double SLOW_FACTOR = 0.9;
+
+    /** Statements differ in duration, so only a mean latency far above the least counts. */
+    private static final double SLOW_RATIO = 4;
+
+    private static final double LATENCY_WEIGHT = 0.1;
+
+    /** Requests that were in flight at a decrease tell nothing about the new limit. */
+    private static final long DECREASE_SPACING_NANOS = 100_000_000L;
+
+    /** The least latency is measured anew after this time, since the kind of load changes. */
+    private static final long BASELINE_NANOS = 30_000_000_000L;
+
+    private final double mMaximum;
+    private double mLimit;
+    private int mInFlight;
+    private double mMeanNanos;
+    private double mLeastNanos = Double.MAX_VALUE;
+    private double mNextLeastNanos = Double.MAX_VALUE;
+    private boolean mStarted;
+    private long mBaselineSinceNanos;
+    private boolean mDecreased;
+    private long mDecreasedAtNanos;
+
+    /**
+     * Creates a limit that begins at its maximum.
+     *
+     * @param maximum the greatest number of requests in flight; at least 1
+     */
+    public ConcurrencyLimit(int maximum) {
+        Preconditions.condition(maximum >= 1, "maximum must be at least 1: " + maximum);
+        mMaximum = maximum;
+        mLimit = maximum;
+    }
+
+    /** Takes a place in flight, or returns false when all are taken. */
+    public boolean tryAcquire() {
+        if (mInFlight >= limit()) {
+            return false;
+        }
+        mInFlight++;
+        return true;
+    }
+
+    /**
+     * Gives a place back.
+     *
+     * @param latencyNanos the time that the request was in flight
+     */
+    public void release(Outcome outcome, long latencyNanos, long nowNanos) {
+        Preconditions.notNull(outcome, "outcome");
+        Preconditions.condition(mInFlight > 0, "release without a place taken");
+        boolean full = mInFlight >= limit();
+        mInFlight--;
+        if (outcome == Outcome.BUSY) {
+            decrease(BUSY_FACTOR, nowNanos);
+        } else if (outcome == Outcome.ANSWERED) {
+            measure(latencyNanos, nowNanos);
+            if (mMeanNanos > SLOW_RATIO * mLeastNanos && mInFlight > 0) {
+                decrease(SLOW_FACTOR, nowNanos);
+            } else if (full) {
+                mLimit = Math.min(mMaximum, mLimit + 1 / mLimit);
+            }
+        }
+    }
+
+    /** Returns the number of requests that may be in flight now. */
+    public int limit() {
+        return (int) mLimit;
+    }
+
+    /** Returns the number of requests in flight. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    private void measure(long latencyNanos, long nowNanos) {
+        if (!mStarted) {
+            mStarted = true;
+            mMeanNanos = latencyNanos;
+            mBaselineSinceNanos = nowNanos;
+        }
+        mMeanNanos += LATENCY_WEIGHT * (latencyNanos - mMeanNanos);
+        if (nowNanos - mBaselineSinceNanos > BASELINE_NANOS) {
+            mLeastNanos = mNextLeastNanos;
+            mNextLeastNanos = Double.MAX_VALUE;
+            mBaselineSinceNanos = nowNanos;
+        }
+        mLeastNanos = Math.min(mLeastNanos, latencyNanos);
+        mNextLeastNanos = Math.min(mNextLeastNanos, latencyNanos);
+    }
+
+    private void decrease(double factor, long nowNanos) {
+        if (mDecreased && nowNanos - mDecreasedAtNanos < DECREASE_SPACING_NANOS) {
+            return;
+        }
+        mDecreased = true;
+        mDecreasedAtNanos = nowNanos;
+        mLimit = Math.max(1, mLimit * factor);
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/FairQueue.java
@@ -0,0 +1,259 @@
+package org.plantainferry.engine.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.WorkspaceName;
+
+/**
+ * Orders waiting requests by weighted fair queueing over workspaces.
+ *
+ * <p>The queue is self-clocked: its virtual time is the finish time of the request taken last. Each
+ * request costs 1/weight of virtual time. Only the head of each workspace has a finish time, so
+ * taking out requests and changing weights leaves the order of the others unchanged.
+ *
+ * @param <T> the type of the requests
+ * @since 0.1
+ */
+public final class FairQueue<T> {
+    /** Waiting requests of one workspace (design page, section 10). */
+    public static final int WORKSPACE_LIMIT = 64;
+
+    private static final long MINIMUM_RETRY_MILLIS = 1;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final int mTotalLimit;
+    private final ServiceInterval mInterval;
+    private final Map<WorkspaceName, Lane<T>> mLanes = new HashMap<>();
+    private final Map<WorkspaceName, Double> mWeights = new HashMap<>();
+    private final PriorityQueue<Lane<T>> mActive =
+            new PriorityQueue<>(
+                    Comparator.<Lane<T>>comparingDouble(Lane::headFinish)
+                            .thenComparing(Lane::workspace));
+    private final List<T> mExpired = new ArrayList<>();
+    private double mVirtualTime;
+    private int mSize;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param totalLimit waiting requests of all workspaces together
+     * @param intervalNanos the first estimate of the time between two requests taken out
+     */
+    public FairQueue(int totalLimit, long intervalNanos) {
+        Preconditions.condition(totalLimit >= 1, "totalLimit must be at least 1: " + totalLimit);
+        Preconditions.condition(intervalNanos >= 1, "intervalNanos must be at least 1");
+        mTotalLimit = totalLimit;
+        mInterval = new ServiceInterval(intervalNanos);
+    }
+
+    /**
+     * Sets the weight of a workspace, which is 1 otherwise; requests that wait keep their order.
+     */
+    public void setWeight(WorkspaceName workspace, double weight) {
+        Preconditions.notNull(workspace, "workspace");
+        Preconditions.condition(
+                weight > 0 && Double.isFinite(weight), "weight must be positive: " + weight);
+        mWeights.put(workspace, weight);
+        Lane<T> lane = mLanes.get(workspace);
+        if (lane != null) {
+            mActive.remove(lane);
+            lane.setWeight(weight);
+            activate(lane);
+        }
+    }
+
+    /** Forgets the weight of a workspace that no longer exists. */
+    public void removeWeight(WorkspaceName workspace) {
+        setWeight(workspace, 1);
+        mWeights.remove(workspace);
+    }
+
+    /** Adds a request, or refuses it at once when it cannot be served in time. */
+    public OfferResult<T> offer(
+            WorkspaceName workspace, T request, long deadlineNanos, long nowNanos) {
+        Preconditions.notNull(workspace, "workspace");
+        Preconditions.notNull(request, "request");
+        long remaining = deadlineNanos - nowNanos;
+        Lane<T> lane = mLanes.get(workspace);
+        if (lane != null && lane.size() >= WORKSPACE_LIMIT) {
+            expire(nowNanos);
+        }
+        int waiting = lane == null ? 0 : lane.size();
+        if (waiting >= WORKSPACE_LIMIT) {
+            return refused(OfferResult.Reason.WORKSPACE_LIMIT, laneIntervalNanos(lane, nowNanos));
+        }
+        long wait = estimatedWaitNanos(workspace, nowNanos);
+        if (remaining <= 0 || wait > remaining) {
+            return refused(OfferResult.Reason.WAIT_TOO_LONG, wait - Math.max(0, remaining));
+        }
+        Optional<T> displaced = Optional.empty();
+        if (mSize >= mTotalLimit) {
+            expire(nowNanos);
+        }
+        if (mSize >= mTotalLimit) {
+            displaced = displaceFor(workspace);
+            if (displaced.isEmpty()) {
+                return refused(
+                        OfferResult.Reason.TOTAL_LIMIT, mInterval.nanos(nowNanos, mSize > 0));
+            }
+        }
+        add(workspace, request, deadlineNanos, nowNanos);
+        return new OfferResult.Queued<>(displaced);
+    }
+
+    /**
+     * Takes out the next request that has not expired.
+     *
+     * <p>Expired requests met on the way are returned by the next {@link #removeExpired}.
+     */
+    public Optional<T> poll(long nowNanos) {
+        while (!mActive.isEmpty()) {
+            Lane<T> lane = mActive.poll();
+            Lane.Entry<T> head = lane.peek();
+            if (head.isExpired(nowNanos)) {
+                lane.dropHead();
+                mSize--;
+                mExpired.add(head.request());
+                activate(lane);
+                continue;
+            }
+            mVirtualTime = Math.max(mVirtualTime, lane.headFinish());
+            lane.serveHead();
+            mSize--;
+            activate(lane);
+            mInterval.onServed(nowNanos, mSize > 0);
+            forgetIdleLanes();
+            return Optional.of(head.request());
+        }
+        forgetIdleLanes();
+        return Optional.empty();
+    }
+
+    /** Takes out all requests whose deadline has passed, for an answer to their callers. */
+    public List<T> removeExpired(long nowNanos) {
+        expire(nowNanos);
+        List<T> expired = new ArrayList<>(mExpired);
+        mExpired.clear();
+        return expired;
+    }
+
+    /** Takes out all requests that match, such as those of a withdrawn key, and returns them. */
+    public List<T> removeIf(Predicate<? super T> condition) {
+        Preconditions.notNull(condition, "condition");
+        List<T> removed = new ArrayList<>();
+        removeEntries(entry -> condition.test(entry.request()), removed);
+        return removed;
+    }
+
+    /** Returns how long a request of the workspace that came now would wait, in nanoseconds. */
+    public long estimatedWaitNanos(WorkspaceName workspace, long nowNanos) {
+        if (mSize == 0) {
+            return 0;
+        }
+        Lane<T> own = mLanes.get(workspace);
+        double finish =
+                own == null ? mVirtualTime + 1 / weight(workspace) : own.nextFinish(mVirtualTime);
+        long before = 0;
+        for (Lane<T> lane : mActive) {
+            before += lane.countUntil(finish);
+        }
+        return before * mInterval.nanos(nowNanos, true);
+    }
+
+    /** Returns the number of waiting requests. */
+    public int size() {
+        return mSize;
+    }
+
+    /** Returns the number of waiting requests of a workspace. */
+    public int size(WorkspaceName workspace) {
+        Lane<T> lane = mLanes.get(workspace);
+        return lane == null ? 0 : lane.size();
+    }
+
+    private void add(WorkspaceName workspace, T request, long deadlineNanos, long nowNanos) {
+        Lane<T> lane = mLanes.computeIfAbsent(workspace, name -> new Lane<>(name, weight(name)));
+        if (mSize == 0) {
+            mInterval.onBusy(nowNanos);
+        }
+        boolean idle = lane.isEmpty();
+        lane.add(new Lane.Entry<>(request, deadlineNanos), mVirtualTime);
+        if (idle) {
+            mActive.add(lane);
+        }
+        mSize++;
+    }
+
+    private Optional<T> displaceFor(WorkspaceName workspace) {
+        Lane<T> longest = null;
+        for (Lane<T> lane : mActive) {
+            if (longest == null || lane.normalizedSize(0) > longest.normalizedSize(0)) {
+                longest = lane;
+            }
+        }
+        double own = (size(workspace) + 1) / weight(workspace);
+        if (longest == null
+                || longest.workspace().equals(workspace)
+                || own > longest.normalizedSize(-1)) {
+            return Optional.empty();
+        }
+        mActive.remove(longest);
+        T displaced = longest.removeLast().request();
+        mSize--;
+        activate(longest);
+        return Optional.of(displaced);
+    }
+
+    private void expire(long nowNanos) {
+        removeEntries(entry -> entry.isExpired(nowNanos), mExpired);
+    }
+
+    private void removeEntries(Predicate<Lane.Entry<T>> condition, List<T> removed) {
+        List<Lane<T>> lanes = new ArrayList<>(mActive);
+        mActive.clear();
+        for (Lane<T> lane : lanes) {
+            mSize -= lane.removeIf(condition, removed);
+            activate(lane);
+        }
+        forgetIdleLanes();
+    }
+
+    private void activate(Lane<T> lane) {
+        if (!lane.isEmpty()) {
+            mActive.add(lane);
+        }
+    }
+
+    private void forgetIdleLanes() {
+        if (mSize > 0) {
+            return;
+        }
+        mLanes.clear();
+        mVirtualTime = 0;
+    }
+
+    private double weight(WorkspaceName workspace) {
+        return mWeights.getOrDefault(workspace, 1.0);
+    }
+
+    private long laneIntervalNanos(Lane<T> lane, long nowNanos) {
+        double activeWeight = 0;
+        for (Lane<T> active : mActive) {
+            activeWeight += active.weight();
+        }
+        double share = activeWeight / lane.weight();
+        return (long) (mInterval.nanos(nowNanos, true) * Math.max(1, share));
+    }
+
+    private static <T> OfferResult<T> refused(OfferResult.Reason reason, long afterNanos) {
+        long millis = afterNanos / NANOS_PER_MILLI + 1;
+        return new OfferResult.Refused<>(reason, Math.max(MINIMUM_RETRY_MILLIS, millis));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryBudget.java
@@ -0,0 +1,79 @@
+package org.plantainferry.engine.retry;
+
+import org.plantainferry.api.Preconditions;
+
+/**
+ * Limits the repeats of a service, so that repeats do not multiply the load of a failing target.
+ *
+ * <p>In any window of about 10 s the repeats are at most 10% of the requests of that window plus
+ * 10. The window moves in steps of 1 s and holds the step that has begun plus the 10 before it.
+ *
+ * @since 0.1
+ */
+public final class RetryBudget {
+    private static final long STEP_NANOS = 1_000_000_000L;
+
+    /** Covers 10 s at each point of the current step. */
+    private static final int STEPS = 11;
+
+    private static final long REQUESTS_PER_REPEAT = 10;
+    private static final long FREE_REPEATS = 10;
+
+    private final long[] mRequests = new long[STEPS];
+    private final long[] mRepeats = new long[STEPS];
+    private final long mOriginNanos;
+    private long mStep;
+    private long mRequestSum;
+    private long mRepeatSum;
+
+    /** Creates an unspent budget. */
+    public RetryBudget(long nowNanos) {
+        mOriginNanos = nowNanos;
+    }
+
+    /** Counts a request; its repeats are not counted here. */
+    public void onRequest(long nowNanos) {
+        advance(nowNanos);
+        mRequests[index(mStep)]++;
+        mRequestSum++;
+    }
+
+    /** Takes one repeat out of the budget, or returns false when the budget is spent. */
+    public boolean tryAcquire(long nowNanos) {
+        advance(nowNanos);
+        if (available() < 1) {
+            return false;
+        }
+        mRepeats[index(mStep)]++;
+        mRepeatSum++;
+        return true;
+    }
+
+    /** Returns the number of repeats that the budget allows now. */
+    public long available(long nowNanos) {
+        advance(nowNanos);
+        return Math.max(0, available());
+    }
+
+    private long available() {
+        return FREE_REPEATS + mRequestSum / REQUESTS_PER_REPEAT - mRepeatSum;
+    }
+
+    private void advance(long nowNanos) {
+        long step = Math.max(mStep, (nowNanos - mOriginNanos) / STEP_NANOS);
+        Preconditions.condition(step >= 0, "nowNanos must not be before the creation");
+        long first = Math.max(mStep + 1, step - STEPS + 1);
+        for (long next = first; next <= step; next++) {
+            int index = index(next);
+            mRequestSum -= mRequests[index];
+            mRepeatSum -= mRepeats[index];
+            mRequests[index] = 0;
+            mRepeats[index] = 0;
+        }
+        mStep = step;
+    }
+
+    private static int index(long step) {
+        return (int) (step % STEPS);
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerObservation.java
@@ -0,0 +1,32 @@
+package org.plantainferry.engine.routing;
+
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.ServerId;
+
+/**
+ * Describes the state of a server as one of its answers shows it.
+ *
+ * @param server the server that answered
+ * @param role its role at that time
+ * @param term its term; 0 before the first term
+ * @param position the last position of its log
+ * @param lagMillis the age of its data in milliseconds; 0 for a primary
+ * @param leaving whether it wants no new work
+ * @since 0.1
+ */
+public record ServerObservation(
+        ServerId server,
+        ServerRole role,
+        long term,
+        long position,
+        long lagMillis,
+        boolean leaving) {
+    /** Checks the ranges. */
+    public ServerObservation {
+        Preconditions.notNull(server, "server");
+        Preconditions.notNull(role, "role");
+        Preconditions.condition(term >= 0, "term must not be negative: " + term);
+        Preconditions.condition(position >= 0, "position must not be negative: " + position);
+        Preconditions.condition(lagMillis >= 0, "lagMillis must not be negative: " + lagMillis);
+    }
+}
