Add membership, configuration and drain decisions

The daemon needs these types early. Freshness counts ages from the time a request was sent, so time in transit never makes a configuration look fresher than it is.

--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
@@ -0,0 +1,247 @@
+package org.plantainferry.engine.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.engine.membership.DomainReport;
+import org.plantainferry.engine.membership.GroupTerm;
+import org.plantainferry.engine.membership.HeartbeatView;
+import org.plantainferry.engine.membership.LocalStatus;
+
+/**
+ * Decides how fresh the configuration in force is, from the store and from heartbeats.
+ *
+ * <p>Ages count against the holder: a confirmation or an observation dates from the time at which
+ * the request that led to it was sent. Only answers to own heartbeats are used, because the time
+ * that a heartbeat without a request spent on its way is unknown; such a heartbeat can only show
+ * that the store is reachable, or that there is a newer version.
+ *
+ * <p>{@link Freshness#OUTAGE} rests on two assumptions: a change that the store accepts reaches the
+ * watch of some instance before the store goes out, and instances of one failure domain that can
+ * talk pass it on within seconds. An observation that the store was not reached counts only for the
+ * versions up to that of the heartbeat that brought it.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationFreshness {
+    /** The age up to which confirmations and observations count. */
+    public static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** The age of the confirmation from which the store is asked again. */
+    static final long CHECK_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** The age of the confirmation from which every heartbeat wants an answer. */
+    static final long ANSWERS_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final FailureDomain mDomain;
+    private long mVersion;
+    private long mNewestVersion;
+    private Optional<Confirmation> mConfirmation = Optional.empty();
+
+    /** The confirmation of a version that is not in force here yet. */
+    private Optional<Confirmation> mPending = Optional.empty();
+
+    private boolean mStoreFailed;
+    private long mStoreNanos;
+    private boolean mStoreTried;
+    private final Map<FailureDomain, Long> mReached = new HashMap<>();
+    private final Map<FailureDomain, Confirmation> mNotReached = new HashMap<>();
+
+    /** Creates the state of an instance in a failure domain, before any contact. */
+    public ConfigurationFreshness(FailureDomain domain) {
+        mDomain = domain;
+    }
+
+    /** Takes in that a version is in force here now. */
+    public void onVersionInForce(long version) {
+        mVersion = Math.max(mVersion, version);
+        mNewestVersion = Math.max(mNewestVersion, version);
+        if (mPending.isPresent() && mPending.get().version() <= mVersion) {
+            Confirmation pending = mPending.get();
+            mPending = Optional.empty();
+            confirm(pending);
+        }
+        if (mConfirmation.isPresent() && mConfirmation.get().version() < mVersion) {
+            mConfirmation = Optional.empty();
+        }
+    }
+
+    /**
+     * Takes in an answer of the store.
+     *
+     * @param version the version that the store holds
+     * @param sentNanos when the request was sent; for a watch that ended without a change, that time
+     *     plus the wait it asked for, because the store answers an empty watch no sooner
+     */
+    public void onStoreAnswer(long version, long sentNanos, long nowNanos) {
+        if (!mStoreTried || sentNanos - mStoreNanos >= 0) {
+            mStoreTried = true;
+            mStoreFailed = false;
+            mStoreNanos = sentNanos;
+        }
+        reached(mDomain, nowNanos);
+        confirm(new Confirmation(version, sentNanos));
+    }
+
+    /** Takes in that the store refused or did not answer a request. */
+    public void onStoreFailure(long sentNanos, long nowNanos) {
+        if (!mStoreTried || sentNanos - mStoreNanos >= 0) {
+            mStoreTried = true;
+            mStoreFailed = true;
+            mStoreNanos = sentNanos;
+            notReached(mDomain, new Confirmation(mVersion, sentNanos));
+        }
+    }
+
+    /** Takes in a heartbeat that was not asked for. */
+    public void onHeartbeat(HeartbeatView heartbeat, long nowNanos) {
+        LocalStatus status = heartbeat.status();
+        mNewestVersion = Math.max(mNewestVersion, status.configurationVersion());
+        for (DomainReport report : status.domains()) {
+            if (report.storeReachable()) {
+                reached(report.failureDomain(), nowNanos - nanos(report.heardAgeMillis()));
+            }
+        }
+    }
+
+    /**
+     * Takes in the answer to an own heartbeat.
+     *
+     * @param sentNanos when that heartbeat was sent
+     */
+    public void onHeartbeatAnswer(HeartbeatView answer, long sentNanos, long nowNanos) {
+        onHeartbeat(answer, nowNanos);
+        LocalStatus status = answer.status();
+        long version = status.configurationVersion();
+        status.confirmationAgeMillis()
+                .ifPresent(age -> confirm(new Confirmation(version, sentNanos - nanos(age))));
+        for (DomainReport report : status.domains()) {
+            if (!report.storeReachable()) {
+                notReached(
+                        report.failureDomain(),
+                        new Confirmation(version, sentNanos - nanos(report.heardAgeMillis())));
+            }
+        }
+    }
+
+    /** Returns until when the version in force counts as fresh, given the known domains. */
+    public FreshnessView view(Set<FailureDomain> domains, long nowNanos) {
+        boolean hasFresh = mConfirmation.isPresent();
+        long freshUntil = hasFresh ? mConfirmation.get().nanos() + MAX_AGE_NANOS : 0;
+        Optional<Long> outageUntil = outageUntil(domains, nowNanos);
+        return new FreshnessView(
+                mVersion, hasFresh, freshUntil, outageUntil.isPresent(), outageUntil.orElse(0L));
+    }
+
+    /** Returns whether the store should be asked for the version now, unless a request is open. */
+    public boolean wantsStoreCheck(long nowNanos) {
+        boolean recent = mStoreTried && nowNanos - mStoreNanos < CHECK_AGE_NANOS / 2;
+        return !recent && confirmationAge(nowNanos).orElse(CHECK_AGE_NANOS) >= CHECK_AGE_NANOS;
+    }
+
+    /** Returns whether all heartbeats should want an answer, to learn of confirmations sooner. */
+    public boolean wantsAnswers(long nowNanos) {
+        return confirmationAge(nowNanos).orElse(ANSWERS_AGE_NANOS) >= ANSWERS_AGE_NANOS;
+    }
+
+    /** Returns what a heartbeat states about the configuration, with the given terms of groups. */
+    public LocalStatus status(List<GroupTerm> groupTerms, long nowNanos) {
+        List<DomainReport> reports = new ArrayList<>();
+        mReached.forEach(
+                (domain, at) -> {
+                    if (nowNanos - at <= MAX_AGE_NANOS) {
+                        reports.add(new DomainReport(domain, millis(nowNanos - at), true));
+                    }
+                });
+        mNotReached.forEach(
+                (domain, at) -> {
+                    boolean reached =
+                            nowNanos - mReached.getOrDefault(domain, at.nanos()) <= MAX_AGE_NANOS
+                                    && mReached.containsKey(domain);
+                    if (!reached
+                            && at.version() <= mVersion
+                            && nowNanos - at.nanos() <= MAX_AGE_NANOS) {
+                        reports.add(new DomainReport(domain, millis(nowNanos - at.nanos()), false));
+                    }
+                });
+        return new LocalStatus(
+                mVersion,
+                confirmationAge(nowNanos).map(ConfigurationFreshness::millis),
+                mStoreTried && !mStoreFailed,
+                groupTerms,
+                reports);
+    }
+
+    private Optional<Long> confirmationAge(long nowNanos) {
+        return mConfirmation.map(each -> Math.max(0, nowNanos - each.nanos()));
+    }
+
+    private void confirm(Confirmation confirmation) {
+        mNewestVersion = Math.max(mNewestVersion, confirmation.version());
+        if (confirmation.version() > mVersion) {
+            mPending = newer(mPending, confirmation);
+        } else if (confirmation.version() == mVersion) {
+            mConfirmation = newer(mConfirmation, confirmation);
+        }
+    }
+
+    private static Optional<Confirmation> newer(Optional<Confirmation> known, Confirmation other) {
+        if (known.isPresent()
+                && (known.get().version() > other.version()
+                        || (known.get().version() == other.version()
+                                && known.get().nanos() - other.nanos() >= 0))) {
+            return known;
+        }
+        return Optional.of(other);
+    }
+
+    private void reached(FailureDomain domain, long atNanos) {
+        mReached.merge(domain, atNanos, (known, at) -> at - known > 0 ? at : known);
+    }
+
+    private void notReached(FailureDomain domain, Confirmation observation) {
+        mNotReached.merge(
+                domain,
+                observation,
+                (known, other) -> other.nanos() - known.nanos() > 0 ? other : known);
+    }
+
+    /** Returns the end of the outage, or empty when there is none now. */
+    private Optional<Long> outageUntil(Set<FailureDomain> domains, long nowNanos) {
+        if (mNewestVersion > mVersion) {
+            return Optional.empty();
+        }
+        for (long at : mReached.values()) {
+            if (nowNanos - at <= MAX_AGE_NANOS) {
+                return Optional.empty();
+            }
+        }
+        Optional<Long> end = Optional.empty();
+        for (FailureDomain domain : domains) {
+            Confirmation observation = mNotReached.get(domain);
+            if (observation == null || observation.version() > mVersion) {
+                return Optional.empty();
+            }
+            long until = observation.nanos() + MAX_AGE_NANOS;
+            end = Optional.of(end.isPresent() && end.get() - until < 0 ? end.get() : until);
+        }
+        return end;
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    /** Rounds up, so that an age never shrinks on its way. */
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nanos) + 999_999);
+    }
+
+    /** Dates what was learnt of a version. */
+    private record Confirmation(long version, long nanos) {}
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/drain/DrainPhase.java
@@ -0,0 +1,15 @@
+package org.plantainferry.engine.drain;
+
+/**
+ * Lists the phases of an instance from its start to its end.
+ *
+ * @since 0.1
+ */
+public enum DrainPhase {
+    /** The instance takes all work. */
+    SERVING,
+    /** The instance is not ready and starts no transactions; work in progress finishes. */
+    DRAINING,
+    /** No work is left, or the drain time is over; listeners and connections can be closed. */
+    CLOSED
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/drain/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Orders the phases in which an instance stops taking work.
+ *
+ * <p>All types are pure: they hold no threads, sockets, clocks or random sources. One control
+ * thread calls the mutable ones; records may be shared.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.engine.drain;
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/GroupTerm.java
@@ -0,0 +1,23 @@
+package org.plantainferry.engine.membership;
+
+import java.util.Optional;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServiceName;
+
+/**
+ * Names the newest known term of a service.
+ *
+ * @param service the service
+ * @param term its term
+ * @param primary the primary of that term; empty while there is none
+ * @since 0.1
+ */
+public record GroupTerm(ServiceName service, long term, Optional<ServerId> primary) {
+    /** Checks that nothing is missing. */
+    public GroupTerm {
+        Preconditions.notNull(service, "service");
+        Preconditions.notNull(primary, "primary");
+        Preconditions.condition(term >= 0, "term must not be negative");
+    }
+}
