Add buckets, share holder and share allocator

Conserved shares keep the rate and burst of a workspace across the fleet without a store call per grant.

--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Acquisition.java
@@ -0,0 +1,32 @@
+package org.plantainferry.engine.limit;
+
+/**
+ * Tells whether a request may run now.
+ *
+ * @since 0.1
+ */
+public sealed interface Acquisition {
+    /**
+     * Lets the request run; a token has been spent.
+     *
+     * @since 0.1
+     */
+    record Granted() implements Acquisition {}
+
+    /**
+     * Says that tokens are being asked for; the caller tries again after the next answer or after
+     * the wait, whichever comes first.
+     *
+     * @param nanos the longest wait
+     * @since 0.1
+     */
+    record Wait(long nanos) implements Acquisition {}
+
+    /**
+     * Refuses the request.
+     *
+     * @param retryAfterMillis the time until a token is due, at least 1
+     * @since 0.1
+     */
+    record Refused(long retryAfterMillis) implements Acquisition {}
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/AllocatorRanking.java
@@ -0,0 +1,16 @@
+package org.plantainferry.engine.limit;
+
+import java.util.List;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.WorkspaceName;
+
+/**
+ * Ranks the live instances that may allocate the shares of a workspace.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface AllocatorRanking {
+    /** Returns the candidates, the preferred one first; two are enough. */
+    List<InstanceId> candidates(WorkspaceName workspace);
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -0,0 +1,132 @@
+package org.plantainferry.engine.limit;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.WorkspaceName;
+
+/** Keeps one workspace's deposits, allocator and bucket on one instance. */
+final class HeldShare {
+    // An allocator that is replaced while it still answers serves until its deposits run out.
+    private static final long HANDOVER = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    // The permanent part lapses after a pause of the control thread of this length.
+    private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(5);
+
+    private final WorkspaceName mName;
+    private final WorkspaceBucket mBucket;
+    private final List<Long> mDepositExpiries = new ArrayList<>();
+    private InstanceId mAllocator;
+    private boolean mLeaving;
+    private long mLeavingAt;
+    private double mTokensToReturn;
+
+    HeldShare(long nowNanos, WorkspaceName name) {
+        mName = name;
+        mBucket = new WorkspaceBucket(nowNanos);
+    }
+
+    WorkspaceName name() {
+        return mName;
+    }
+
+    WorkspaceBucket bucket() {
+        return mBucket;
+    }
+
+    InstanceId allocator() {
+        return mAllocator;
+    }
+
+    /** Moves towards the preferred allocator; the deposits at the present one run out first. */
+    void chooseAllocator(long nowNanos, InstanceId preferred, boolean presentAnswers) {
+        if (mAllocator == null) {
+            mAllocator = preferred;
+        }
+        if (mAllocator.equals(preferred)) {
+            mLeaving = false;
+            return;
+        }
+        if (!mLeaving) {
+            mLeaving = true;
+            mLeavingAt = nowNanos;
+        }
+        boolean handedOver = !presentAnswers || nowNanos - mLeavingAt >= HANDOVER;
+        if (handedOver && runningDeposits(nowNanos) == 0) {
+            mAllocator = preferred;
+            mLeaving = false;
+            mTokensToReturn = 0;
+        }
+    }
+
+    /** Returns whether slots may be deposited with the present allocator. */
+    boolean mayDeposit() {
+        return !mLeaving;
+    }
+
+    int runningDeposits(long nowNanos) {
+        mDepositExpiries.removeIf(expiry -> nowNanos - expiry >= 0);
+        return mDepositExpiries.size();
+    }
+
+    /** Sets the permanent part to the slots that are not deposited. */
+    double refreshPermanent(long nowNanos, int usableSlots, SlotTerms terms) {
+        int own = Math.max(0, usableSlots - runningDeposits(nowNanos));
+        return mBucket.setPermanent(
+                nowNanos,
+                own * terms.ratePerSecond(),
+                own * terms.capacity(),
+                nowNanos + LONGEST_PAUSE);
+    }
+
+    /** Builds the entry of a request and moves the deposited tokens into it. */
+    ShareRequest.Share deposit(
+            long nowNanos, int depositedSlots, int usableSlots, SlotTerms terms) {
+        int running = runningDeposits(nowNanos);
+        long expiry = nowNanos + ShareTiming.DEPOSIT_AT_HOLDER;
+        mDepositExpiries.sort(Collections.reverseOrder());
+        for (int i = 0; i < depositedSlots; i++) {
+            if (i < running) {
+                mDepositExpiries.set(i, expiry);
+            } else {
+                mDepositExpiries.add(expiry);
+            }
+        }
+        double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
+        mTokensToReturn = 0;
+        return new ShareRequest.Share(
+                mName,
+                depositedSlots,
+                depositedSlots > 0 || tokens > 0 ? tokens : 0,
+                mBucket.demandPerSecond(nowNanos),
+                mBucket.grantTokens(nowNanos),
+                mBucket.isStarving());
+    }
+
+    /** Returns whether this instance needs the allocator for the workspace. */
+    boolean isInterested(long nowNanos, int usableSlots) {
+        return usableSlots > 0
+                || mTokensToReturn > 0
+                || mBucket.isStarving()
+                || mBucket.hasGrant(nowNanos)
+                || mBucket.demandPerSecond(nowNanos) > 0;
+    }
+
+    /** Installs a grant and returns whether many tokens have to go back. */
+    boolean install(long nowNanos, ShareAnswer.Grant grant, long sentAt) {
+        mTokensToReturn +=
+                mBucket.installGrant(
+                        nowNanos,
+                        grant.ratePerSecond(),
+                        grant.capacity(),
+                        grant.tokens(),
+                        sentAt + grant.validNanos());
+        boolean fruitful = mBucket.tokens(nowNanos) >= 1;
+        if (fruitful || !grant.moreSoon()) {
+            mBucket.endAsk(nowNanos, fruitful);
+        }
+        return mTokensToReturn >= 1;
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -0,0 +1,195 @@
+package org.plantainferry.engine.limit;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.InstanceId;
+
+/**
+ * Divides the deposited slots of one workspace among its borrowers.
+ *
+ * <p>At every moment the lent rates and capacities, in force or on their way, are at most those of
+ * the valid deposits. What is not lent fills a pool of tokens, which is lent with later grants.
+ */
+final class LendingBook {
+    private static final long SHORTEST_GRANT = TimeUnit.MILLISECONDS.toNanos(600);
+
+    // Kept for instances that have no grant yet, so that their first request is answered at once.
+    private static final double RESERVE_PART = 0.1;
+    private static final double POOL_RATE_PART = 0.05;
+
+    // Smoothed demand varies by chance; only a clear surplus is worth a recall.
+    private static final double RECALL_FACTOR = 1.25;
+
+    /** Holds a grant and the borrowers from which more is wanted back. */
+    record Loan(ShareAnswer.Grant grant, List<InstanceId> recalled) {}
+
+    private final Map<InstanceId, LentShare> mBorrowers = new LinkedHashMap<>();
+    private SlotTerms mTerms = SlotTerms.NONE;
+    private double mPool;
+    private long mNow;
+
+    LendingBook(long nowNanos) {
+        mNow = nowNanos;
+    }
+
+    /** Moves the pool to the present, through every end of a deposit or grant on the way. */
+    void advance(long nowNanos, SlotTerms terms) {
+        List<Long> moments = new ArrayList<>();
+        for (LentShare each : mBorrowers.values()) {
+            each.addEnds(mNow, nowNanos, moments);
+        }
+        Collections.sort(moments);
+        if (nowNanos - mNow > 0) {
+            moments.add(nowNanos);
+        }
+        for (long moment : moments) {
+            double seconds = (moment - mNow) / ShareTiming.NANOS_PER_SECOND;
+            double rate = Math.max(0, depositedSlots(mNow) * mTerms.ratePerSecond() - lentRate());
+            mPool = Math.min(freeCapacity(), mPool + rate * seconds);
+            mNow = moment;
+        }
+        mTerms = terms;
+        mPool = Math.min(mPool, freeCapacity());
+        mBorrowers.values().forEach(each -> each.forgetEnded(mNow));
+    }
+
+    /** Records the deposits and tokens of a request that echoes a valid nonce. */
+    void record(InstanceId instance, ShareRequest.Share share, long nonce, long depositExpiry) {
+        LentShare borrower = borrower(instance);
+        double freeBefore = freeCapacity();
+        double refund = borrower.acknowledge(nonce);
+        borrower.deposit(share.depositedSlots(), depositExpiry);
+        // Tokens count only up to the capacity that comes back with them: capacity that came back
+        // earlier, by expiry, has been refilled since, and the same tokens would count twice.
+        double gained = Math.max(0, freeCapacity() - freeBefore);
+        double returned = Math.max(0, share.depositedTokens()) + refund;
+        mPool = Math.min(Math.max(0, freeCapacity()), mPool + Math.min(gained, returned));
+    }
+
+    /** Lends to a borrower what its demand justifies and others do not hold. */
+    Loan lend(InstanceId instance, ShareRequest.Share share, long nonce) {
+        LentShare borrower = borrower(instance);
+        borrower.seen(mNow, share);
+        long valid = validity();
+        int slots = depositedSlots(mNow + valid);
+        Division division = new Division(mNow, mBorrowers, mTerms, slots, RESERVE_PART);
+        double ownCapacity = borrower.lentCapacity(mNow);
+        double freeRate =
+                Math.max(0, slots * mTerms.ratePerSecond() - lentRate() + borrower.lentRate(mNow));
+        double freeCapacity = Math.max(0, slots * mTerms.capacity() - lentCapacity() + ownCapacity);
+        double rate = Math.min(freeRate, division.rate(instance) - poolRate(division, instance));
+        double capacity = Math.min(freeCapacity, division.capacity(instance));
+        double offered =
+                share.starving()
+                        ? mPool
+                        : Math.max(0, mPool - division.reserve()) * division.part(instance);
+        if (share.starving()) {
+            double oneToken = Math.max(0, share.level()) + Math.min(1, offered);
+            capacity = Math.max(capacity, Math.min(freeCapacity, oneToken));
+        }
+        double tokens = Math.min(offered, capacity - Math.max(0, share.level()));
+        tokens = Math.max(0, Math.min(tokens, freeCapacity - ownCapacity));
+        if (capacity < 1) {
+            // A bucket that cannot hold a whole token only withholds it from the others.
+            capacity = 0;
+            rate = 0;
+            tokens = 0;
+        }
+        rate = Math.max(0, rate);
+        boolean enough =
+                capacity >= division.capacity(instance) / RECALL_FACTOR
+                        && rate >= division.rate(instance) / RECALL_FACTOR
+                        && share.level() + tokens >= 1;
+        List<InstanceId> recalled =
+                share.starving() && !enough ? recall(instance, division) : List.of();
+        boolean moreSoon = share.starving() && !enough && isAnyRecalled(instance);
+        ShareAnswer.Grant grant =
+                new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, moreSoon);
+        mPool -= tokens;
+        borrower.lend(nonce, grant, mNow);
+        mPool = Math.max(0, Math.min(mPool, freeCapacity()));
+        return new Loan(grant, recalled);
+    }
+
+    boolean isAbandoned(long nowNanos, long afterNanos) {
+        mBorrowers.values().forEach(each -> each.forgetEnded(nowNanos));
+        mBorrowers
+                .values()
+                .removeIf(each -> each.isEmpty() && nowNanos - each.lastSeen() >= afterNanos);
+        return mBorrowers.isEmpty();
+    }
+
+    private double poolRate(Division division, InstanceId instance) {
+        double missing = Math.max(0, division.reserve() - mPool);
+        double perSecond =
+                missing * ShareTiming.NANOS_PER_SECOND / (double) ShareTiming.REQUEST_PERIOD;
+        return Math.min(perSecond, POOL_RATE_PART * division.totalRate()) * division.part(instance);
+    }
+
+    private List<InstanceId> recall(InstanceId starving, Division division) {
+        List<InstanceId> recalled = new ArrayList<>();
+        mBorrowers.forEach(
+                (instance, each) -> {
+                    boolean surplus =
+                            each.lentCapacity(mNow) > division.capacity(instance) * RECALL_FACTOR
+                                    || each.lentRate(mNow)
+                                            > division.rate(instance) * RECALL_FACTOR;
+                    if (!instance.equals(starving) && surplus && each.recall(mNow)) {
+                        recalled.add(instance);
+                    }
+                });
+        return recalled;
+    }
+
+    private boolean isAnyRecalled(InstanceId starving) {
+        return mBorrowers.entrySet().stream()
+                .anyMatch(
+                        entry ->
+                                !entry.getKey().equals(starving)
+                                        && entry.getValue().isRecalled(mNow));
+    }
+
+    private long validity() {
+        long shortest = ShareTiming.GRANT;
+        for (LentShare each : mBorrowers.values()) {
+            shortest = each.shortestDeposit(mNow, shortest);
+        }
+        return Math.max(SHORTEST_GRANT, shortest);
+    }
+
+    private LentShare borrower(InstanceId instance) {
+        return mBorrowers.computeIfAbsent(instance, key -> new LentShare());
+    }
+
+    private int depositedSlots(long atNanos) {
+        int slots = 0;
+        for (LentShare each : mBorrowers.values()) {
+            slots += each.deposits(atNanos);
+        }
+        return slots;
+    }
+
+    private double lentRate() {
+        double rate = 0;
+        for (LentShare each : mBorrowers.values()) {
+            rate += each.lentRate(mNow);
+        }
+        return rate;
+    }
+
+    private double lentCapacity() {
+        double capacity = 0;
+        for (LentShare each : mBorrowers.values()) {
+            capacity += each.lentCapacity(mNow);
+        }
+        return capacity;
+    }
+
+    private double freeCapacity() {
+        return Math.max(0, depositedSlots(mNow) * mTerms.capacity() - lentCapacity());
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
@@ -0,0 +1,40 @@
+package org.plantainferry.engine.limit;
+
+import java.util.List;
+import org.plantainferry.api.WorkspaceName;
+
+/**
+ * Carries the grants that answer one share request.
+ *
+ * @param configurationVersion the version in force at the allocator
+ * @param sequence the sequence number of the request
+ * @param nonce identifies this answer; the next request repeats it
+ * @param grants one entry for each workspace of the request
+ * @since 0.1
+ */
+public record ShareAnswer(
+        long configurationVersion, long sequence, long nonce, List<Grant> grants) {
+    /** Copies the list. */
+    public ShareAnswer {
+        grants = List.copyOf(grants);
+    }
+
+    /**
+     * Replaces the borrower's earlier grant for a workspace.
+     *
+     * @param workspace the workspace
+     * @param ratePerSecond the rate at which the borrower's tokens grow
+     * @param capacity the most tokens that the borrower may hold
+     * @param tokens tokens added to those the borrower has
+     * @param validNanos lifetime, which the borrower counts from the sending of its request
+     * @param moreSoon whether other borrowers were asked to return tokens or capacity
+     * @since 0.1
+     */
+    public record Grant(
+            WorkspaceName workspace,
+            double ratePerSecond,
+            double capacity,
+            double tokens,
+            long validNanos,
+            boolean moreSoon) {}
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -0,0 +1,198 @@
+package org.plantainferry.engine.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.WorkspaceName;
+import org.plantainferry.api.configuration.Workspace;
+
+/**
+ * Deposits the share slots of one instance with allocators and borrows grants for its traffic.
+ *
+ * <p>Used by the control thread only, except {@link #bucket}. The caller runs {@link #tick} every
+ * 10 to 20 ms, and at once when a bucket has told a caller to wait.
+ *
+ * @since 0.1
+ */
+public final class ShareHolder {
+    private static final long ASK_AGAIN = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final double EXTRA_REQUESTS_PER_SECOND = 25;
+    private static final double EXTRA_REQUESTS_BURST = 50;
+
+    private final InstanceId mSelf;
+    private final ShareTerms mTerms;
+    private final Map<WorkspaceName, HeldShare> mShares = new LinkedHashMap<>();
+    private final Map<WorkspaceName, WorkspaceBucket> mBuckets = new ConcurrentHashMap<>();
+    private final Map<InstanceId, AllocatorLink> mLinks = new HashMap<>();
+    private final WorkspaceBucket mExtraRequests;
+    private long mSequence;
+    private long mConfigurationVersion = -1;
+
+    /** Creates a holder without slots. */
+    public ShareHolder(long nowNanos, InstanceId self, ShareTerms terms) {
+        mSelf = Preconditions.notNull(self, "self");
+        mTerms = Preconditions.notNull(terms, "terms");
+        mExtraRequests = new WorkspaceBucket(nowNanos);
+        followConfiguration(nowNanos);
+    }
+
+    /** Returns the bucket of a configured workspace; may be called from any thread. */
+    public Optional<WorkspaceBucket> bucket(WorkspaceName workspace) {
+        return Optional.ofNullable(mBuckets.get(workspace));
+    }
+
+    /**
+     * Renews the permanent parts and returns the requests that are due.
+     *
+     * @param usableSlots the slots held by this instance that it may spend now
+     * @param ranking ranks the live instances for each workspace
+     */
+    public List<SendShareRequest> tick(long nowNanos, int usableSlots, AllocatorRanking ranking) {
+        followConfiguration(nowNanos);
+        mExtraRequests.setPermanent(
+                nowNanos, EXTRA_REQUESTS_PER_SECOND, EXTRA_REQUESTS_BURST, Long.MAX_VALUE);
+        Map<InstanceId, List<HeldShare>> interested = new LinkedHashMap<>();
+        for (HeldShare share : mShares.values()) {
+            chooseAllocator(nowNanos, share, ranking.candidates(share.name()));
+            share.refreshPermanent(nowNanos, usableSlots, mTerms.slotTerms(nowNanos, share.name()));
+            if (share.allocator() != null && share.isInterested(nowNanos, usableSlots)) {
+                interested.computeIfAbsent(share.allocator(), key -> new ArrayList<>()).add(share);
+            }
+        }
+        List<SendShareRequest> requests = new ArrayList<>();
+        interested.forEach(
+                (allocator, shares) -> {
+                    AllocatorLink link = link(allocator);
+                    if (isDue(nowNanos, link, shares)) {
+                        ShareRequest request = request(nowNanos, link, shares, usableSlots);
+                        requests.add(new SendShareRequest(allocator, request));
+                    }
+                });
+        return requests;
+    }
+
+    /**
+     * Applies an answer; one that is late or was applied before is ignored.
+     *
+     * @return the workspaces whose waiting requests should try again
+     */
+    public List<WorkspaceName> answered(long nowNanos, InstanceId allocator, ShareAnswer answer) {
+        AllocatorLink link = mLinks.get(allocator);
+        if (link == null || !link.accepts(answer.sequence())) {
+            return List.of();
+        }
+        boolean firstNonce = link.nonce(nowNanos) == 0;
+        link.answered(nowNanos, answer.nonce());
+        if (firstNonce) {
+            link.makeUrgent(nowNanos);
+        }
+        List<WorkspaceName> woken = new ArrayList<>();
+        for (ShareAnswer.Grant grant : answer.grants()) {
+            HeldShare share = mShares.get(grant.workspace());
+            if (share == null || !allocator.equals(share.allocator())) {
+                continue;
+            }
+            if (share.install(nowNanos, grant, link.sentAt())) {
+                link.makeUrgent(nowNanos);
+            }
+            if (grant.moreSoon() && share.bucket().isStarving()) {
+                link.makeUrgent(nowNanos + ASK_AGAIN);
+            }
+            woken.add(grant.workspace());
+        }
+        return woken;
+    }
+
+    /** Handles the wish of an allocator for an early request, to lend shares to others. */
+    public void recalled(long nowNanos, InstanceId allocator) {
+        AllocatorLink link = mLinks.get(allocator);
+        if (link != null) {
+            link.makeUrgent(nowNanos);
+        }
+    }
+
+    /** Returns the greatest number of slots that are deposited for any workspace. */
+    public int runningDeposits(long nowNanos) {
+        return mShares.values().stream()
+                .mapToInt(share -> share.runningDeposits(nowNanos))
+                .max()
+                .orElse(0);
+    }
+
+    private boolean isDue(long nowNanos, AllocatorLink link, List<HeldShare> shares) {
+        boolean asked = false;
+        for (HeldShare share : shares) {
+            asked |= share.bucket().takeAskWanted();
+        }
+        if (link.isPeriodDue(nowNanos) || link.isUrgent(nowNanos)) {
+            return true;
+        }
+        if (!asked) {
+            return false;
+        }
+        if (!(mExtraRequests.tryAcquire(nowNanos) instanceof Acquisition.Granted)) {
+            shares.forEach(share -> share.bucket().endAsk(nowNanos, false));
+            return false;
+        }
+        link.makeUrgent(nowNanos);
+        return link.isUrgent(nowNanos);
+    }
+
+    private ShareRequest request(
+            long nowNanos, AllocatorLink link, List<HeldShare> shares, int usableSlots) {
+        long nonce = link.nonce(nowNanos);
+        // An unanswered request means that the allocator may be gone: the deposit is not prolonged,
+        // so that the slots can be used elsewhere soon.
+        boolean prolong = nonce != 0 && !link.isOutstanding();
+        List<ShareRequest.Share> entries = new ArrayList<>();
+        for (HeldShare share : shares) {
+            int deposited = prolong && share.mayDeposit() ? usableSlots : 0;
+            entries.add(
+                    share.deposit(
+                            nowNanos,
+                            deposited,
+                            usableSlots,
+                            mTerms.slotTerms(nowNanos, share.name())));
+        }
+        mSequence++;
+        link.sent(nowNanos, mSequence);
+        return new ShareRequest(mSelf, mTerms.configuration().version(), mSequence, nonce, entries);
+    }
+
+    private void chooseAllocator(long nowNanos, HeldShare share, List<InstanceId> candidates) {
+        if (candidates.isEmpty()) {
+            return;
+        }
+        InstanceId preferred =
+                candidates.stream()
+                        .filter(each -> !link(each).isAvoided(nowNanos))
+                        .findFirst()
+                        .orElse(candidates.get(0));
+        boolean answers = share.allocator() != null && !link(share.allocator()).isAvoided(nowNanos);
+        share.chooseAllocator(nowNanos, preferred, answers);
+    }
+
+    private AllocatorLink link(InstanceId allocator) {
+        return mLinks.computeIfAbsent(allocator, key -> new AllocatorLink());
+    }
+
+    private void followConfiguration(long nowNanos) {
+        if (mTerms.configuration().version() == mConfigurationVersion) {
+            return;
+        }
+        mConfigurationVersion = mTerms.configuration().version();
+        for (Workspace workspace : mTerms.configuration().parts().workspaces()) {
+            mShares.computeIfAbsent(workspace.name(), name -> new HeldShare(nowNanos, name));
+        }
+        mShares.keySet().removeIf(name -> mTerms.configuration().workspace(name).isEmpty());
+        mBuckets.keySet().retainAll(mShares.keySet());
+        mShares.forEach((name, share) -> mBuckets.put(name, share.bucket()));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTerms.java
@@ -0,0 +1,104 @@
+package org.plantainferry.engine.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.WorkspaceName;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.api.configuration.DomainShare;
+import org.plantainferry.api.configuration.Workspace;
+
+/**
+ * Derives the value of a share slot from the configuration, also while versions change.
+ *
+ * <p>Other instances may use an earlier version for some seconds. Until a version has settled, a
+ * slot is worth at most max(old limit, new limit) / old number of slots, and only slots that exist
+ * in both versions are used; so the sum over any mix of instances stays within the greater limit.
+ * When the number of slots is unchanged, a new limit applies at once.
+ *
+ * @since 0.1
+ */
+public final class ShareTerms {
+    private record Past(Configuration configuration, long replacedAt) {}
+
+    private final List<Past> mPast = new ArrayList<>();
+    private Configuration mCurrent;
+
+    /** Creates terms from the first known version, which counts as settled. */
+    public ShareTerms(Configuration configuration) {
+        mCurrent = Preconditions.notNull(configuration, "configuration");
+    }
+
+    /** Puts a newer version in force; other versions are ignored. */
+    public void install(long nowNanos, Configuration configuration) {
+        if (configuration.version() > mCurrent.version()) {
+            mPast.add(new Past(mCurrent, nowNanos));
+            mCurrent = configuration;
+        }
+    }
+
+    /** Returns the version in force. */
+    public Configuration configuration() {
+        return mCurrent;
+    }
+
+    /** Returns whether no earlier version can be in force anywhere. */
+    public boolean isSettled(long nowNanos) {
+        forget(nowNanos);
+        return mPast.isEmpty();
+    }
+
+    /** Returns how many slots of a failure domain, counted from index 0, are in use. */
+    public int usableSlots(long nowNanos, FailureDomain domain) {
+        forget(nowNanos);
+        int usable = slots(mCurrent, domain);
+        for (Past past : mPast) {
+            // Version 0 has no slots at all and no limits, so it does not restrict its successor.
+            if (past.configuration.totalShareSlots() > 0) {
+                usable = Math.min(usable, slots(past.configuration, domain));
+            }
+        }
+        return usable;
+    }
+
+    /** Returns the value of one slot for a workspace. */
+    public SlotTerms slotTerms(long nowNanos, WorkspaceName name) {
+        forget(nowNanos);
+        Optional<Workspace> workspace = mCurrent.workspace(name);
+        int total = mCurrent.totalShareSlots();
+        if (workspace.isEmpty() || total == 0) {
+            return SlotTerms.NONE;
+        }
+        double rate = workspace.get().ratePerSecond() / total;
+        double capacity = workspace.get().burst() / total;
+        double highestRate = workspace.get().ratePerSecond();
+        double highestBurst = workspace.get().burst();
+        for (Past past : mPast) {
+            Optional<Workspace> earlier = past.configuration.workspace(name);
+            highestRate = Math.max(highestRate, earlier.map(Workspace::ratePerSecond).orElse(0.0));
+            highestBurst = Math.max(highestBurst, earlier.map(Workspace::burst).orElse(0.0));
+        }
+        for (Past past : mPast) {
+            int pastTotal = past.configuration.totalShareSlots();
+            if (pastTotal > 0) {
+                rate = Math.min(rate, highestRate / pastTotal);
+                capacity = Math.min(capacity, highestBurst / pastTotal);
+            }
+        }
+        return new SlotTerms(rate, capacity);
+    }
+
+    private void forget(long nowNanos) {
+        mPast.removeIf(past -> nowNanos - past.replacedAt >= ShareTiming.CONFIGURATION_SETTLING);
+    }
+
+    private static int slots(Configuration configuration, FailureDomain domain) {
+        return configuration.parts().failureDomains().stream()
+                .filter(each -> each.name().equals(domain))
+                .mapToInt(DomainShare::shareSlots)
+                .findFirst()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTiming.java
@@ -0,0 +1,28 @@
+package org.plantainferry.engine.limit;
+
+import java.util.concurrent.TimeUnit;
+
+/** Holds the durations that both sides of the share protocol rely on. */
+final class ShareTiming {
+    static final double NANOS_PER_SECOND = 1e9;
+
+    /** The period of the requests to an allocator. */
+    static final long REQUEST_PERIOD = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** The lifetime of a deposit as the allocator counts it. */
+    static final long DEPOSIT = TimeUnit.SECONDS.toNanos(2);
+
+    /** The holder counts 1% longer, because the clock rates of two machines differ a little. */
+    static final long DEPOSIT_AT_HOLDER = TimeUnit.MILLISECONDS.toNanos(2_020);
+
+    /** The lifetime of a grant as the borrower counts it. */
+    static final long GRANT = TimeUnit.SECONDS.toNanos(1);
+
+    /** The time that a caller may wait for a grant. */
+    static final long LONGEST_WAIT = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** A version is in force everywhere within 11 s; the rest is a margin. */
+    static final long CONFIGURATION_SETTLING = TimeUnit.SECONDS.toNanos(15);
+
+    private ShareTiming() {}
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -0,0 +1,215 @@
+package org.plantainferry.engine.limit;
+
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.Preconditions;
+
+/**
+ * Counts the tokens of one workspace on one instance.
+ *
+ * <p>It has two parts: the permanent part comes from share slots that this instance holds and has
+ * not deposited, and the grant was lent by an allocator. Both expire unless the control thread
+ * renews them, so that a process that was paused stops spending by itself. Times are monotonic
+ * nanoseconds; an older time than the latest one counts as the latest. All methods may be called
+ * from any thread.
+ *
+ * @since 0.1
+ */
+public final class WorkspaceBucket {
+    private static final Acquisition.Granted GRANTED = new Acquisition.Granted();
+    private static final long FIRST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final long LONGEST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(320);
+    private static final long RETRY_AFTER_UNKNOWN = TimeUnit.MILLISECONDS.toNanos(500);
+
+    // Sums of binary fractions may miss a whole token by a rounding error.
+    private static final double ONE_TOKEN = 1 - 1e-9;
+
+    private final DemandMeter mDemand;
+    private double mPermanentRate;
+    private double mPermanentCapacity;
+    private double mPermanentTokens;
+    private long mPermanentUntil;
+    private double mGrantRate;
+    private double mGrantCapacity;
+    private double mGrantTokens;
+    private long mGrantUntil;
+    private long mNow;
+    private long mWaitUntil;
+    private long mNextAsk;
+    private long mBackoff = FIRST_BACKOFF;
+    private boolean mAskWanted;
+    private boolean mStarving;
+
+    /** Creates an empty bucket. */
+    public WorkspaceBucket(long nowNanos) {
+        mNow = nowNanos;
+        mPermanentUntil = nowNanos;
+        mGrantUntil = nowNanos;
+        mWaitUntil = nowNanos;
+        mNextAsk = nowNanos;
+        mDemand = new DemandMeter(nowNanos);
+    }
+
+    /** Spends a token for a request that arrived now, if there is one. */
+    public synchronized Acquisition tryAcquire(long nowNanos) {
+        advance(nowNanos);
+        mDemand.count(mNow);
+        return acquire();
+    }
+
+    /** Tries again for a request that was told to wait; it does not count as demand again. */
+    public synchronized Acquisition retryAcquire(long nowNanos) {
+        advance(nowNanos);
+        return acquire();
+    }
+
+    private Acquisition acquire() {
+        if (mPermanentTokens + mGrantTokens >= ONE_TOKEN) {
+            double fromGrant = Math.min(1, mGrantTokens);
+            mGrantTokens -= fromGrant;
+            mPermanentTokens = Math.max(0, mPermanentTokens - (1 - fromGrant));
+            return GRANTED;
+        }
+        if (mNow - mWaitUntil < 0) {
+            return new Acquisition.Wait(mWaitUntil - mNow);
+        }
+        if (mNow - mNextAsk >= 0) {
+            mAskWanted = true;
+            mStarving = true;
+            mWaitUntil = mNow + ShareTiming.LONGEST_WAIT;
+            // The ask may never be answered; callers after it are refused for a while.
+            mNextAsk = mWaitUntil + mBackoff;
+            return new Acquisition.Wait(ShareTiming.LONGEST_WAIT);
+        }
+        return new Acquisition.Refused(retryAfterMillis());
+    }
+
+    private long retryAfterMillis() {
+        double rate = mPermanentRate + mGrantRate;
+        double nanos = RETRY_AFTER_UNKNOWN;
+        if (rate > 0) {
+            double missing = 1 - mPermanentTokens - mGrantTokens;
+            nanos = Math.max(0, missing) / rate * ShareTiming.NANOS_PER_SECOND;
+        }
+        return Math.max(1, (long) Math.ceil(nanos / 1e6));
+    }
+
+    private void advance(long nowNanos) {
+        if (nowNanos - mNow <= 0) {
+            return;
+        }
+        if (nowNanos - mPermanentUntil >= 0) {
+            mPermanentRate = 0;
+            mPermanentCapacity = 0;
+            mPermanentTokens = 0;
+        }
+        if (nowNanos - mGrantUntil >= 0) {
+            mGrantRate = 0;
+            mGrantCapacity = 0;
+            mGrantTokens = 0;
+        }
+        double seconds = (nowNanos - mNow) / ShareTiming.NANOS_PER_SECOND;
+        mPermanentTokens =
+                Math.min(mPermanentCapacity, mPermanentTokens + mPermanentRate * seconds);
+        mGrantTokens = Math.min(mGrantCapacity, mGrantTokens + mGrantRate * seconds);
+        mNow = nowNanos;
+    }
+
+    /**
+     * Sets the permanent part; tokens above the new capacity are taken out.
+     *
+     * @param untilNanos the time at which the part lapses unless this method is called again
+     * @return the tokens taken out
+     */
+    public synchronized double setPermanent(
+            long nowNanos, double ratePerSecond, double capacity, long untilNanos) {
+        Preconditions.condition(
+                ratePerSecond >= 0 && capacity >= 0, "rate and capacity must not be negative");
+        advance(nowNanos);
+        double removed = Math.max(0, mPermanentTokens - capacity);
+        mPermanentTokens -= removed;
+        mPermanentRate = ratePerSecond;
+        mPermanentCapacity = capacity;
+        mPermanentUntil = untilNanos;
+        return removed;
+    }
+
+    /**
+     * Replaces the grant; tokens of the earlier grant stay, up to the new capacity.
+     *
+     * @param addedTokens tokens that the allocator transfers
+     * @param untilNanos the time at which the grant lapses
+     * @return tokens above the new capacity, which no longer belong to this instance
+     */
+    public synchronized double installGrant(
+            long nowNanos,
+            double ratePerSecond,
+            double capacity,
+            double addedTokens,
+            long untilNanos) {
+        Preconditions.condition(
+                ratePerSecond >= 0 && capacity >= 0 && addedTokens >= 0,
+                "rate, capacity and tokens must not be negative");
+        advance(nowNanos);
+        if (mNow - untilNanos >= 0) {
+            mGrantUntil = mNow;
+            mGrantRate = 0;
+            mGrantCapacity = 0;
+            mGrantTokens = 0;
+            return 0;
+        }
+        double tokens = mGrantTokens + addedTokens;
+        mGrantTokens = Math.min(capacity, tokens);
+        mGrantRate = ratePerSecond;
+        mGrantCapacity = capacity;
+        mGrantUntil = untilNanos;
+        return tokens - mGrantTokens;
+    }
+
+    /** Ends the wait for tokens; a fruitless ask delays the next one, longer each time. */
+    public synchronized void endAsk(long nowNanos, boolean fruitful) {
+        advance(nowNanos);
+        if (mNow - mWaitUntil < 0) {
+            mWaitUntil = mNow;
+        }
+        mAskWanted = false;
+        mStarving = false;
+        mBackoff = fruitful ? FIRST_BACKOFF : Math.min(LONGEST_BACKOFF, mBackoff * 2);
+        mNextAsk = fruitful ? mNow : mNow + mBackoff;
+    }
+
+    /** Returns whether a request waits for tokens since the last call. */
+    public synchronized boolean takeAskWanted() {
+        boolean wanted = mAskWanted;
+        mAskWanted = false;
+        return wanted;
+    }
+
+    /** Returns whether an ask is unanswered. */
+    public synchronized boolean isStarving() {
+        return mStarving;
+    }
+
+    /** Returns the smoothed number of requests offered each second, including refused ones. */
+    public synchronized double demandPerSecond(long nowNanos) {
+        advance(nowNanos);
+        return mDemand.perSecond(mNow);
+    }
+
+    /** Returns the tokens of the grant. */
+    public synchronized double grantTokens(long nowNanos) {
+        advance(nowNanos);
+        return mGrantTokens;
+    }
+
+    /** Returns all tokens. */
+    public synchronized double tokens(long nowNanos) {
+        advance(nowNanos);
+        return mGrantTokens + mPermanentTokens;
+    }
+
+    /** Returns whether a grant with capacity is in force. */
+    public synchronized boolean hasGrant(long nowNanos) {
+        advance(nowNanos);
+        return mGrantCapacity > 0;
+    }
+}
