--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTerms.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTerms.java
@@ -23,7 +23,10 @@
 public final class ShareTerms {
     private record Past(Configuration configuration, long replacedAt) {}
 
+    private record StoredSlots(FailureDomain domain, int slots, int total, long since) {}
+
     private final List<Past> mPast = new ArrayList<>();
+    private Optional<StoredSlots> mStored = Optional.empty();
     private Configuration mCurrent;
 
     /** Creates terms from the first known version, which counts as settled. */
@@ -39,6 +42,24 @@
         }
     }
 
+    /**
+     * Takes the numbers of slots under which the slots of a domain were last used.
+     *
+     * <p>A process that starts during a change has not seen the earlier version itself; different
+     * numbers in the slot table show that one may still be in force.
+     */
+    public void startFrom(long nowNanos, FailureDomain domain, int slots, int total) {
+        boolean same = slots == configuredSlots(domain) && total == mCurrent.totalShareSlots();
+        if (!same && total > 0) {
+            mStored = Optional.of(new StoredSlots(domain, slots, total, nowNanos));
+        }
+    }
+
+    /** Returns the number of slots of a failure domain in the version in force. */
+    public int configuredSlots(FailureDomain domain) {
+        return slots(mCurrent, domain);
+    }
+
     /** Returns the version in force. */
     public Configuration configuration() {
         return mCurrent;
@@ -47,7 +68,7 @@
     /** Returns whether no earlier version can be in force anywhere. */
     public boolean isSettled(long nowNanos) {
         forget(nowNanos);
-        return mPast.isEmpty();
+        return mPast.isEmpty() && mStored.isEmpty();
     }
 
     /** Returns how many slots of a failure domain, counted from index 0, are in use. */
@@ -60,6 +81,9 @@
                 usable = Math.min(usable, slots(past.configuration, domain));
             }
         }
+        if (mStored.isPresent() && mStored.get().domain().equals(domain)) {
+            usable = Math.min(usable, mStored.get().slots());
+        }
         return usable;
     }
 
@@ -87,11 +111,17 @@
                 capacity = Math.min(capacity, highestBurst / pastTotal);
             }
         }
+        if (mStored.isPresent()) {
+            rate = Math.min(rate, highestRate / mStored.get().total());
+            capacity = Math.min(capacity, highestBurst / mStored.get().total());
+        }
         return new SlotTerms(rate, capacity);
     }
 
     private void forget(long nowNanos) {
         mPast.removeIf(past -> nowNanos - past.replacedAt >= ShareTiming.CONFIGURATION_SETTLING);
+        mStored =
+                mStored.filter(each -> nowNanos - each.since < ShareTiming.CONFIGURATION_SETTLING);
     }
 
     private static int slots(Configuration configuration, FailureDomain domain) {
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/SlotClaims.java
@@ -0,0 +1,169 @@
+package org.plantainferry.engine.limit;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.Preconditions;
+
+/**
+ * Claims, releases and reclaims share slots of the own failure domain for one instance.
+ *
+ * <p>The caller runs {@link #decide} on every run of the control thread, carries out the action,
+ * and reports its result with {@link #read}, {@link #written} or {@link #writeFailed}. It passes
+ * {@link #usableSlots} to {@link ShareHolder#tick} afterwards, in the same run.
+ *
+ * @since 0.1
+ */
+public final class SlotClaims {
+    private static final long READ_PERIOD = TimeUnit.SECONDS.toNanos(5);
+    private static final long RETRY_PAUSE = TimeUnit.MILLISECONDS.toNanos(200);
+
+    // A reclaimed slot rests while deposits of its earlier holder run out, and while that holder,
+    // should it be alive after all, sees the changed object.
+    private static final long RECLAIMED_REST = TimeUnit.SECONDS.toNanos(3);
+
+    private final InstanceId mSelf;
+    private final FailureDomain mDomain;
+    private final ShareTerms mTerms;
+    private final Set<Integer> mReleasing = new TreeSet<>();
+    private final Map<Integer, Long> mResting = new HashMap<>();
+    private Optional<SlotTable> mTable = Optional.empty();
+    private Optional<SlotTable> mWriting = Optional.empty();
+    private long mVersion;
+    private boolean mReadOnce;
+    private boolean mBusy;
+    private boolean mReadWanted = true;
+    private long mNotBefore;
+    private long mLastRead;
+
+    /** Creates claims without knowledge of the slot object. */
+    public SlotClaims(long nowNanos, InstanceId self, FailureDomain domain, ShareTerms terms) {
+        mSelf = Preconditions.notNull(self, "self");
+        mDomain = Preconditions.notNull(domain, "domain");
+        mTerms = Preconditions.notNull(terms, "terms");
+        mNotBefore = nowNanos;
+    }
+
+    /**
+     * Returns the next action, if one is due and none is in progress.
+     *
+     * @param runningDeposits the result of {@link ShareHolder#runningDeposits}
+     */
+    public Optional<SlotAction> decide(long nowNanos, DomainView view, int runningDeposits) {
+        if (mBusy || nowNanos - mNotBefore < 0) {
+            return Optional.empty();
+        }
+        if (mReadWanted || nowNanos - mLastRead >= READ_PERIOD) {
+            mBusy = true;
+            return Optional.of(new SlotAction.Read());
+        }
+        int slots = mTerms.configuredSlots(mDomain);
+        int total = mTerms.configuration().totalShareSlots();
+        if (slots == 0) {
+            return Optional.empty();
+        }
+        SlotTable table = mTable.orElse(new SlotTable(slots, total, List.of()));
+        SlotTable next = table;
+        if (mTerms.isSettled(nowNanos)) {
+            next = next.resized(slots, total);
+        }
+        SlotPlan plan = new SlotPlan(mSelf, next, slots, view);
+        Set<Integer> reclaimed = plan.reclaimable();
+        next = next.assigned(reclaimed, mSelf).assigned(plan.claims(), mSelf);
+        mReleasing.retainAll(table.heldBy(mSelf));
+        if (mReleasing.isEmpty()) {
+            mReleasing.addAll(plan.releases());
+        } else if (runningDeposits <= usableSlots(nowNanos)) {
+            next = next.without(mReleasing);
+        }
+        if (next.equals(table) && mTable.isPresent()) {
+            return Optional.empty();
+        }
+        reclaimed.forEach(index -> mResting.put(index, nowNanos + RECLAIMED_REST));
+        mBusy = true;
+        mWriting = Optional.of(next);
+        return Optional.of(new SlotAction.Write(next, mVersion));
+    }
+
+    /**
+     * Takes the content of the object, from a read or a watch.
+     *
+     * @param table the content; absent when the object does not exist
+     * @param version the version of the object; 0 when it does not exist
+     */
+    public void read(long nowNanos, Optional<SlotTable> table, long version) {
+        mBusy = false;
+        mReadWanted = false;
+        mLastRead = nowNanos;
+        adopt(nowNanos, table, version);
+    }
+
+    /** Notes that the write succeeded and led to a version. */
+    public void written(long nowNanos, long version) {
+        mBusy = false;
+        adopt(nowNanos, mWriting, version);
+    }
+
+    /** Notes that the write was refused, or that its answer is lost; it is read back. */
+    public void writeFailed(long nowNanos) {
+        mBusy = false;
+        mReadWanted = true;
+        mNotBefore = nowNanos + RETRY_PAUSE;
+    }
+
+    /** Notes that a read failed. */
+    public void readFailed(long nowNanos) {
+        mBusy = false;
+        mReadWanted = true;
+        mNotBefore = nowNanos + RETRY_PAUSE;
+    }
+
+    /** Makes the next action a read, for example after a pause. */
+    public void requestRead() {
+        mReadWanted = true;
+    }
+
+    /** Returns the number of slots that may be spent or deposited now. */
+    public int usableSlots(long nowNanos) {
+        int limit = mTerms.usableSlots(nowNanos, mDomain);
+        return (int)
+                mTable.map(table -> table.heldBy(mSelf)).orElse(Set.of()).stream()
+                        .filter(index -> index < limit && !mReleasing.contains(index))
+                        .filter(index -> isRested(nowNanos, index))
+                        .count();
+    }
+
+    private boolean isRested(long nowNanos, int index) {
+        Long until = mResting.get(index);
+        return until == null || nowNanos - until >= 0;
+    }
+
+    private void adopt(long nowNanos, Optional<SlotTable> table, long version) {
+        if (!mReadOnce) {
+            mReadOnce = true;
+            table.ifPresent(
+                    first ->
+                            mTerms.startFrom(
+                                    nowNanos,
+                                    mDomain,
+                                    first.shareSlots(),
+                                    first.totalShareSlots()));
+        }
+        Set<Integer> before = mTable.map(each -> each.heldBy(mSelf)).orElse(Set.of());
+        mTable = table;
+        mVersion = version;
+        Set<Integer> now = mTable.map(each -> each.heldBy(mSelf)).orElse(Set.of());
+        for (int index : now) {
+            if (!before.contains(index) && mResting.containsKey(index)) {
+                mResting.put(index, nowNanos + RECLAIMED_REST);
+            }
+        }
+        mResting.keySet().removeIf(index -> now.contains(index) && isRested(nowNanos, index));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/SlotPlan.java
@@ -0,0 +1,107 @@
+package org.plantainferry.engine.limit;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.plantainferry.api.InstanceId;
+
+/**
+ * Works out which slots an instance should claim, give up or reclaim.
+ *
+ * <p>With n slots and m live instances, each is to hold between floor(n/m) and ceil(n/m) slots.
+ */
+final class SlotPlan {
+    private static final long RECLAIM_SILENCE = TimeUnit.SECONDS.toNanos(20);
+
+    private final InstanceId mSelf;
+    private final SlotTable mTable;
+    private final int mSlots;
+    private final DomainView mView;
+    private final int mFloor;
+    private final int mCeiling;
+
+    SlotPlan(InstanceId self, SlotTable table, int slots, DomainView view) {
+        mSelf = self;
+        mTable = table;
+        mSlots = slots;
+        mView = view;
+        int instances = Math.max(1, view.live().size());
+        mFloor = slots / instances;
+        mCeiling = (slots + instances - 1) / instances;
+    }
+
+    /** Returns slots whose holder is gone from the platform's list and long silent. */
+    Set<Integer> reclaimable() {
+        if (!mView.listKnown() || !mView.live().contains(mSelf)) {
+            return Set.of();
+        }
+        return mTable.held().stream()
+                .filter(slot -> slot.index() < mSlots && isGone(slot.holder()))
+                .map(SlotTable.Slot::index)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private boolean isGone(InstanceId holder) {
+        return !holder.equals(mSelf)
+                && !mView.listed().contains(holder)
+                && mView.silenceNanos().applyAsLong(holder) >= RECLAIM_SILENCE;
+    }
+
+    /** Returns free slots to claim now. */
+    Set<Integer> claims() {
+        if (!mView.live().contains(mSelf)) {
+            return Set.of();
+        }
+        List<Integer> free = mTable.free(mSlots);
+        int held = count(mSelf);
+        int wanted = Math.max(0, mFloor - held);
+        boolean spare = free.size() > missing();
+        if (wanted == 0 && held < mCeiling && spare) {
+            wanted = 1;
+        }
+        return free.stream().limit(wanted).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    /** Returns slots to give up so that newcomers get theirs. */
+    Set<Integer> releases() {
+        List<Integer> own = mTable.heldBy(mSelf).stream().filter(i -> i < mSlots).toList();
+        int surplus;
+        if (!mView.live().contains(mSelf)) {
+            surplus = own.size();
+        } else {
+            surplus = Math.max(0, own.size() - mCeiling);
+            if (surplus == 0 && own.size() > mFloor && isAskedToYield()) {
+                surplus = 1;
+            }
+        }
+        return own.stream()
+                .skip(own.size() - (long) surplus)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    /** Returns whether this instance is among the first that make up for what others lack. */
+    private boolean isAskedToYield() {
+        long surplusOfOthers =
+                mView.live().stream().mapToInt(each -> Math.max(0, count(each) - mCeiling)).sum();
+        long needed = missing() - mTable.free(mSlots).size() - surplusOfOthers;
+        List<InstanceId> yielding =
+                mView.live().stream()
+                        .filter(each -> count(each) > mFloor)
+                        .sorted(Comparator.naturalOrder())
+                        .limit(Math.max(0, needed))
+                        .toList();
+        return yielding.contains(mSelf);
+    }
+
+    /** Returns how many slots the live instances lack to hold the floor each. */
+    private int missing() {
+        return mView.live().stream().mapToInt(each -> Math.max(0, mFloor - count(each))).sum();
+    }
+
+    private int count(InstanceId instance) {
+        return mTable.heldBy(instance).size();
+    }
+}
