--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/target/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Talks to target servers: connections, and the messages of the target protocol.
+ *
+ * @since 0.1
+ */
+package org.plantainferry.network.target;
