--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/HttpPlatformStore.java
@@ -0,0 +1,288 @@
+package org.plantainferry.network.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.api.json.Json;
+import org.plantainferry.network.http.Futures;
+import org.plantainferry.network.http.HttpAnswer;
+import org.plantainferry.network.http.HttpCall;
+import org.plantainferry.network.http.HttpConnector;
+
+/**
+ * Talks to the platform's store over HTTP.
+ *
+ * <p>A change whose answer is lost, late, unreadable or an error other than a failed condition has
+ * the verdict {@code MAY_HAVE_RUN}: only the documented answers prove that nothing changed. At most
+ * 32 calls are in progress; further calls fail at once.
+ *
+ * @since 0.1
+ */
+public final class HttpPlatformStore implements PlatformStore {
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int PRECONDITION_FAILED = 412;
+    private static final Pattern ENTITY_TAG = Pattern.compile("(?:W/)?\"([0-9]{1,18})\"");
+    // The platform may add properties that this version does not know.
+    private static final ObjectReader READER =
+            Json.strict().reader().without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private final StoreConnections mConnections;
+    private final StoreTimeouts mTimeouts;
+
+    /**
+     * Creates a client; it connects at the first call.
+     *
+     * @param group the event loops, which the caller owns
+     * @param address IP:PORT of the store
+     * @param localAddress the address that connections are bound to; empty for any
+     */
+    public HttpPlatformStore(
+            EventLoopGroup group,
+            String address,
+            Optional<InetAddress> localAddress,
+            StoreTimeouts timeouts) {
+        mTimeouts = Preconditions.notNull(timeouts, "timeouts");
+        mConnections =
+                new StoreConnections(
+                        new HttpConnector(
+                                group,
+                                localAddress,
+                                timeouts.connectMillis(),
+                                MAX_ANSWER_BYTES,
+                                ErrorCode.STORE_UNAVAILABLE),
+                        Preconditions.notNull(address, "address"));
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoreObject>> get(String path) {
+        return call(
+                "GET",
+                objectUri(path),
+                Map.of(),
+                Optional.empty(),
+                mTimeouts.callMillis(),
+                answer -> readObject(path, answer));
+    }
+
+    @Override
+    public CompletableFuture<Optional<Long>> put(
+            String path, String value, WriteCondition condition) {
+        Preconditions.notNull(value, "value");
+        Map<String, String> headers =
+                condition
+                        .version()
+                        .map(version -> Map.of("If-Match", tag(version)))
+                        .orElse(Map.of("If-None-Match", "*"));
+        return call(
+                "PUT",
+                objectUri(path),
+                headers,
+                Optional.of(value),
+                mTimeouts.callMillis(),
+                HttpPlatformStore::readWritten);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> delete(String path, long version) {
+        return call(
+                "DELETE",
+                objectUri(path),
+                Map.of("If-Match", tag(version)),
+                Optional.empty(),
+                mTimeouts.callMillis(),
+                HttpPlatformStore::readDeleted);
+    }
+
+    @Override
+    public CompletableFuture<StoreListing> list(String prefix) {
+        return call(
+                "GET",
+                "/list?prefix=" + encode(prefix),
+                Map.of(),
+                Optional.empty(),
+                mTimeouts.callMillis(),
+                answer -> readListing(answer));
+    }
+
+    @Override
+    public CompletableFuture<StoreListing> watch(
+            String prefix, long afterRevision, long waitMillis) {
+        Preconditions.condition(waitMillis >= 0, "waitMillis must not be negative");
+        String uri =
+                "/watch?prefix="
+                        + encode(prefix)
+                        + "&after="
+                        + afterRevision
+                        + "&waitMillis="
+                        + waitMillis;
+        return call(
+                "GET",
+                uri,
+                Map.of(),
+                Optional.empty(),
+                waitMillis + mTimeouts.watchMarginMillis(),
+                answer -> readListing(answer));
+    }
+
+    @Override
+    public CompletableFuture<List<InstanceRecord>> instances() {
+        return call(
+                "GET",
+                "/instances",
+                Map.of(),
+                Optional.empty(),
+                mTimeouts.callMillis(),
+                HttpPlatformStore::readInstances);
+    }
+
+    @Override
+    public void close() {
+        mConnections.close();
+    }
+
+    private <T> CompletableFuture<T> call(
+            String method,
+            String uri,
+            Map<String, String> headers,
+            Optional<String> body,
+            long timeoutMillis,
+            Function<HttpAnswer, T> reader) {
+        HttpCall call = new HttpCall(method, uri, headers, body, Optional.empty());
+        Verdict lost = method.equals("GET") ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+        CompletableFuture<T> result = new CompletableFuture<>();
+        mConnections
+                .send(call, timeoutMillis)
+                .whenComplete(
+                        (answer, error) -> {
+                            if (error != null) {
+                                Throwable cause = Futures.cause(error);
+                                Verdict verdict = isNotSent(cause) ? Verdict.NOT_RUN : lost;
+                                result.completeExceptionally(
+                                        unavailable(method, uri, verdict, cause));
+                                return;
+                            }
+                            try {
+                                result.complete(reader.apply(answer));
+                            } catch (RuntimeException e) {
+                                result.completeExceptionally(unavailable(method, uri, lost, e));
+                            }
+                        });
+        return result;
+    }
+
+    private static boolean isNotSent(Throwable cause) {
+        return cause instanceof PlantainferryException known && known.verdict() == Verdict.NOT_RUN;
+    }
+
+    private static PlantainferryException unavailable(
+            String method, String uri, Verdict verdict, Throwable cause) {
+        return new PlantainferryException(
+                ErrorCode.STORE_UNAVAILABLE,
+                "store: " + method + " " + uri + ": " + cause.getMessage(),
+                verdict,
+                0,
+                cause);
+    }
+
+    private static Optional<StoreObject> readObject(String path, HttpAnswer answer) {
+        if (answer.status() == NOT_FOUND) {
+            return Optional.empty();
+        }
+        expect(answer, answer.status() == OK);
+        return Optional.of(new StoreObject(path, version(answer), Optional.of(answer.body())));
+    }
+
+    private static Optional<Long> readWritten(HttpAnswer answer) {
+        // A conditional write of an object that is gone may be answered with either status.
+        if (answer.status() == PRECONDITION_FAILED || answer.status() == NOT_FOUND) {
+            return Optional.empty();
+        }
+        expect(
+                answer,
+                answer.status() == OK
+                        || answer.status() == CREATED
+                        || answer.status() == NO_CONTENT);
+        return Optional.of(version(answer));
+    }
+
+    private static boolean readDeleted(HttpAnswer answer) {
+        if (answer.status() == PRECONDITION_FAILED || answer.status() == NOT_FOUND) {
+            return false;
+        }
+        expect(answer, answer.status() == OK || answer.status() == NO_CONTENT);
+        return true;
+    }
+
+    private static StoreListing readListing(HttpAnswer answer) {
+        expect(answer, answer.status() == OK);
+        ListingBody body = parse(answer, ListingBody.class);
+        return new StoreListing(
+                body.revision(),
+                body.objects().stream().map(ListingBody.ObjectBody::toStoreObject).toList());
+    }
+
+    private static List<InstanceRecord> readInstances(HttpAnswer answer) {
+        expect(answer, answer.status() == OK);
+        return parse(answer, InstancesBody.class).instances();
+    }
+
+    private static <T> T parse(HttpAnswer answer, Class<T> type) {
+        try {
+            T value = READER.forType(type).readValue(answer.body());
+            if (value == null) {
+                throw new UnreadableAnswerException("the answer is empty");
+            }
+            return value;
+        } catch (JsonProcessingException e) {
+            throw new UnreadableAnswerException(e.getOriginalMessage());
+        }
+    }
+
+    private static void expect(HttpAnswer answer, boolean expected) {
+        if (!expected) {
+            throw new UnreadableAnswerException("status " + answer.status());
+        }
+    }
+
+    private static long version(HttpAnswer answer) {
+        Matcher matcher = ENTITY_TAG.matcher(answer.entityTag().orElse(""));
+        if (!matcher.matches()) {
+            throw new UnreadableAnswerException("the ETag has no version: " + answer.entityTag());
+        }
+        return Long.parseLong(matcher.group(1));
+    }
+
+    private static String tag(long version) {
+        return "\"" + version + "\"";
+    }
+
+    private static String objectUri(String path) {
+        Preconditions.condition(
+                path != null && !path.isEmpty() && !path.startsWith("/"),
+                "path must not be empty or begin with a slash: " + path);
+        return "/objects/" + encode(path).replace("%2F", "/");
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/StoreConnections.java
@@ -0,0 +1,139 @@
+package org.plantainferry.network.store;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.network.http.Futures;
+import org.plantainferry.network.http.HttpAnswer;
+import org.plantainferry.network.http.HttpCall;
+import org.plantainferry.network.http.HttpConnection;
+import org.plantainferry.network.http.HttpConnector;
+
+/** Keeps a few connections to the store, each with one call in progress. */
+final class StoreConnections implements AutoCloseable {
+    // The control thread has few calls in progress; more of them mean that the store hangs.
+    private static final int MAX_CALLS = 32;
+    private static final int MAX_IDLE = 4;
+
+    private final HttpConnector mConnector;
+    private final String mAddress;
+    private final Deque<HttpConnection> mIdle = new ArrayDeque<>();
+    private final Set<HttpConnection> mInUse = new HashSet<>();
+    private int mCalls;
+    private boolean mClosed;
+
+    StoreConnections(HttpConnector connector, String address) {
+        mConnector = connector;
+        mAddress = address;
+    }
+
+    CompletableFuture<HttpAnswer> send(HttpCall call, long timeoutMillis) {
+        CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        Optional<HttpConnection> kept;
+        synchronized (this) {
+            if (mClosed || mCalls >= MAX_CALLS) {
+                String reason = mClosed ? "the client is closed" : "too many calls in progress";
+                result.completeExceptionally(
+                        new PlantainferryException(ErrorCode.STORE_UNAVAILABLE, reason));
+                return result;
+            }
+            mCalls++;
+            kept = takeIdle();
+        }
+        if (kept.isPresent()) {
+            sendOn(kept.get(), call, timeoutMillis, result);
+        } else {
+            connectAndSend(call, timeoutMillis, result);
+        }
+        return result;
+    }
+
+    @Override
+    public void close() {
+        Set<HttpConnection> all;
+        synchronized (this) {
+            mClosed = true;
+            all = new HashSet<>(mInUse);
+            all.addAll(mIdle);
+            mIdle.clear();
+            mInUse.clear();
+        }
+        all.forEach(HttpConnection::close);
+    }
+
+    private Optional<HttpConnection> takeIdle() {
+        // The latest one is taken, so that surplus connections grow old and the store closes them.
+        for (HttpConnection each = mIdle.pollLast(); each != null; each = mIdle.pollLast()) {
+            if (each.isOpen()) {
+                mInUse.add(each);
+                return Optional.of(each);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void connectAndSend(
+            HttpCall call, long timeoutMillis, CompletableFuture<HttpAnswer> result) {
+        mConnector
+                .connect(mAddress)
+                .whenComplete(
+                        (connection, error) -> {
+                            if (error != null) {
+                                endCall();
+                                result.completeExceptionally(Futures.cause(error));
+                            } else if (register(connection)) {
+                                sendOn(connection, call, timeoutMillis, result);
+                            } else {
+                                endCall();
+                                connection.close();
+                                result.completeExceptionally(
+                                        new PlantainferryException(
+                                                ErrorCode.STORE_UNAVAILABLE,
+                                                "the client is closed"));
+                            }
+                        });
+    }
+
+    private void sendOn(
+            HttpConnection connection,
+            HttpCall call,
+            long timeoutMillis,
+            CompletableFuture<HttpAnswer> result) {
+        connection
+                .send(call, timeoutMillis)
+                .whenComplete(
+                        (answer, error) -> {
+                            release(connection);
+                            if (error != null) {
+                                result.completeExceptionally(Futures.cause(error));
+                            } else {
+                                result.complete(answer);
+                            }
+                        });
+    }
+
+    private synchronized boolean register(HttpConnection connection) {
+        return !mClosed && mInUse.add(connection);
+    }
+
+    private synchronized void endCall() {
+        mCalls--;
+    }
+
+    private void release(HttpConnection connection) {
+        synchronized (this) {
+            mCalls--;
+            mInUse.remove(connection);
+            if (!mClosed && connection.isOpen() && mIdle.size() < MAX_IDLE) {
+                mIdle.addLast(connection);
+                return;
+            }
+        }
+        connection.close();
+    }
+}
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/UnreadableAnswerException.java
@@ -0,0 +1,14 @@
+package org.plantainferry.network.store;
+
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+
+/** Reports an answer of the store that is none of those that its protocol documents. */
+final class UnreadableAnswerException extends PlantainferryException {
+    private static final long serialVersionUID = 1L;
+
+    UnreadableAnswerException(String message) {
+        super(ErrorCode.STORE_UNAVAILABLE, message, Verdict.MAY_HAVE_RUN, 0, null);
+    }
+}
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/target/TargetProtocol.java
@@ -0,0 +1,224 @@
+package org.plantainferry.network.target;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import java.util.Optional;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.StatementKind;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.api.json.Json;
+
+/**
+ * Builds the requests of the target protocol and reads its answers.
+ *
+ * <p>Answers may have properties that this version does not know; a missing or wrong property makes
+ * an answer unreadable. An unreadable answer never counts as "not run".
+ *
+ * @since 0.1
+ */
+public final class TargetProtocol {
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    private static final int MESSAGE_MAX_LENGTH = 512;
+    // Servers are updated apart from instances, so new properties must not break old instances.
+    private static final ObjectReader READER =
+            Json.strict().reader().without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private TargetProtocol() {}
+
+    /**
+     * Builds a request that runs a statement, alone or in the transaction of its connection.
+     *
+     * @param term the term in which the server must be; for reads, the newest term known
+     * @param minimumPosition the position that the server must have reached; 0 for any
+     * @param requestId the idempotency key, if the caller gave one
+     */
+    public static TargetRequest statement(
+            StatementKind kind,
+            String statement,
+            long term,
+            long minimumPosition,
+            Optional<String> requestId) {
+        Preconditions.notNull(kind, "kind");
+        Preconditions.notNull(statement, "statement");
+        return post(
+                "/statement", new StatementBody(kind, statement, term, minimumPosition, requestId));
+    }
+
+    /** Builds a request that begins a transaction on its connection. */
+    public static TargetRequest begin(long term) {
+        return post("/begin", new TermBody(term, Optional.empty()));
+    }
+
+    /**
+     * Builds a request that commits the transaction of its connection.
+     *
+     * @param requestId the idempotency key, if the caller gave one
+     */
+    public static TargetRequest commit(long term, Optional<String> requestId) {
+        return post("/commit", new TermBody(term, requestId));
+    }
+
+    /** Builds a request that rolls back the transaction of its connection. */
+    public static TargetRequest rollback() {
+        return new TargetRequest("POST", "/rollback", Optional.of("{}"));
+    }
+
+    /** Builds a request for the state of a server. */
+    public static TargetRequest state() {
+        return new TargetRequest("GET", "/state", Optional.empty());
+    }
+
+    /** Builds a request to refuse all work of terms before {@code term}. */
+    public static TargetRequest fence(long term, String proposer) {
+        return post("/fence", new ProposalBody(term, Preconditions.notNull(proposer, "proposer")));
+    }
+
+    /** Builds a request to become the primary of {@code term}. */
+    public static TargetRequest promote(long term, String proposer) {
+        return post(
+                "/promote", new ProposalBody(term, Preconditions.notNull(proposer, "proposer")));
+    }
+
+    /** Reads the answer to a statement, begin, commit or rollback; never throws. */
+    public static StatementAnswer readStatement(TargetResponse response) {
+        try {
+            if (response.status() == OK) {
+                return parse(response, StatementResult.class);
+            }
+            RefusalBody body = parse(response, RefusalBody.class);
+            return RefusalReason.of(response.status(), body.error().orElse(""))
+                    .map(reason -> body.toRefusal(reason))
+                    .orElseGet(() -> unreadable("status " + response.status()));
+        } catch (PlantainferryException e) {
+            return unreadable("status " + response.status() + ": " + e.getMessage());
+        }
+    }
+
+    /**
+     * Reads the state of a server.
+     *
+     * @throws PlantainferryException with {@code TARGET_UNAVAILABLE} when the server sent none
+     */
+    public static ServerState readState(TargetResponse response) {
+        if (response.status() != OK) {
+            throw unexpected(response, Verdict.NOT_RUN);
+        }
+        return parse(response, ServerState.class);
+    }
+
+    /**
+     * Reads the answer to a fencing request.
+     *
+     * @throws PlantainferryException with {@code TARGET_UNAVAILABLE} and {@code MAY_HAVE_RUN} when
+     *     the answer says neither that the server granted it nor that it refused it
+     */
+    public static FenceResult readFence(TargetResponse response) {
+        if (response.status() != OK && response.status() != CONFLICT) {
+            throw unexpected(response, Verdict.MAY_HAVE_RUN);
+        }
+        FenceResult result = parse(response, FenceResult.class);
+        if (result.granted() != (response.status() == OK)) {
+            throw unexpected(response, Verdict.MAY_HAVE_RUN);
+        }
+        return result;
+    }
+
+    /**
+     * Reads the answer to a promotion request.
+     *
+     * @throws PlantainferryException with {@code TARGET_UNAVAILABLE} and {@code MAY_HAVE_RUN} when
+     *     the answer says neither that the server is promoted nor that it refused
+     */
+    public static PromotionResult readPromotion(TargetResponse response) {
+        if (response.status() == CONFLICT) {
+            return new PromotionResult(false, termOf(response), Optional.empty());
+        }
+        if (response.status() != OK) {
+            throw unexpected(response, Verdict.MAY_HAVE_RUN);
+        }
+        PromotedBody body = parse(response, PromotedBody.class);
+        return new PromotionResult(true, Optional.of(body.term()), Optional.of(body.position()));
+    }
+
+    private static Optional<Long> termOf(TargetResponse response) {
+        try {
+            return parse(response, RefusalBody.class).term();
+        } catch (PlantainferryException e) {
+            // The status alone says that the server refused.
+            return Optional.empty();
+        }
+    }
+
+    private static TargetRequest post(String path, Object body) {
+        return new TargetRequest("POST", path, Optional.of(Json.write(body)));
+    }
+
+    private static <T> T parse(TargetResponse response, Class<T> type) {
+        try {
+            T value = READER.forType(type).readValue(response.body());
+            if (value == null) {
+                throw unexpected(response, Verdict.MAY_HAVE_RUN);
+            }
+            return value;
+        } catch (JsonProcessingException e) {
+            throw new PlantainferryException(
+                    ErrorCode.TARGET_UNAVAILABLE,
+                    "the server sent an answer that cannot be read: " + e.getOriginalMessage(),
+                    Verdict.MAY_HAVE_RUN,
+                    0,
+                    e);
+        }
+    }
+
+    private static TargetRefusal unreadable(String message) {
+        return new TargetRefusal(
+                RefusalReason.UNREADABLE, Optional.empty(), Optional.empty(), shortened(message));
+    }
+
+    private static PlantainferryException unexpected(TargetResponse response, Verdict verdict) {
+        return new PlantainferryException(
+                ErrorCode.TARGET_UNAVAILABLE,
+                "the server answered " + response.status() + " " + shortened(response.body()),
+                verdict,
+                0,
+                null);
+    }
+
+    private static String shortened(String text) {
+        return text.length() <= MESSAGE_MAX_LENGTH ? text : text.substring(0, MESSAGE_MAX_LENGTH);
+    }
+
+    private record StatementBody(
+            StatementKind kind,
+            String statement,
+            long term,
+            long minimumPosition,
+            Optional<String> requestId) {}
+
+    private record TermBody(long term, Optional<String> requestId) {}
+
+    private record ProposalBody(long term, String proposer) {}
+
+    private record PromotedBody(long term, long position) {}
+
+    private record RefusalBody(
+            Optional<String> error,
+            Optional<Long> term,
+            Optional<Long> position,
+            Optional<String> message) {
+        RefusalBody {
+            error = error == null ? Optional.empty() : error;
+            term = term == null ? Optional.empty() : term;
+            position = position == null ? Optional.empty() : position;
+            message = message == null ? Optional.empty() : message;
+        }
+
+        TargetRefusal toRefusal(RefusalReason reason) {
+            return new TargetRefusal(reason, term, position, shortened(message.orElse("")));
+        }
+    }
+}
