--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/DaemonSettings.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/DaemonSettings.java
@@ -50,9 +50,9 @@
     /**
      * Names the files for TLS.
      *
-     * @param keyStoreFile PKCS #12 file with the certificate and key of this instance
-     * @param trustStoreFile PKCS #12 file with the authorities of other instances
-     * @param passwordFile file with the password of both stores
+     * @param certificateFile PEM file with the certificate chain of this instance
+     * @param keyFile PEM file with its private key, PKCS #8 without a password
+     * @param trustFile PEM file with the certificates that sign those of other instances
      */
-    public record TlsSettings(Path keyStoreFile, Path trustStoreFile, Path passwordFile) {}
+    public record TlsSettings(Path certificateFile, Path keyFile, Path trustFile) {}
 }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsFile.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsFile.java
@@ -19,9 +19,9 @@
     static final String LOG_FORMAT = "logFormat";
     static final String POLICY = "policy";
     static final String TLS = "tls";
-    static final String KEY_STORE_FILE = "keyStoreFile";
-    static final String TRUST_STORE_FILE = "trustStoreFile";
-    static final String PASSWORD_FILE = "passwordFile";
+    static final String CERTIFICATE_FILE = "certificateFile";
+    static final String TRUST_FILE = "trustFile";
+    static final String KEY_FILE = "keyFile";
 
     static final Set<String> PROPERTIES =
             Set.of(
@@ -40,7 +40,7 @@
                     TLS);
 
     static final Set<String> TLS_PROPERTIES =
-            Set.of(KEY_STORE_FILE, TRUST_STORE_FILE, PASSWORD_FILE);
+            Set.of(CERTIFICATE_FILE, TRUST_FILE, KEY_FILE);
 
     private SettingsFile() {}
 
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsReader.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsReader.java
@@ -268,14 +268,14 @@
             return Optional.empty();
         }
         SettingsFile.reportUnknown(node, SettingsFile.TLS_PROPERTIES, prefix, mMistakes);
-        Optional<Path> keyStore = tlsFile(node, SettingsFile.KEY_STORE_FILE, prefix);
-        Optional<Path> trustStore = tlsFile(node, SettingsFile.TRUST_STORE_FILE, prefix);
-        Optional<Path> password = tlsFile(node, SettingsFile.PASSWORD_FILE, prefix);
-        if (keyStore.isEmpty() || trustStore.isEmpty() || password.isEmpty()) {
+        Optional<Path> certificate = tlsFile(node, SettingsFile.CERTIFICATE_FILE, prefix);
+        Optional<Path> trust = tlsFile(node, SettingsFile.TRUST_FILE, prefix);
+        Optional<Path> key = tlsFile(node, SettingsFile.KEY_FILE, prefix);
+        if (certificate.isEmpty() || trust.isEmpty() || key.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(
-                new DaemonSettings.TlsSettings(keyStore.get(), trustStore.get(), password.get()));
+                new DaemonSettings.TlsSettings(certificate.get(), key.get(), trust.get()));
     }
 
     private Optional<Path> tlsFile(JsonNode node, String name, String prefix) {
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/AnswerWriter.java
@@ -0,0 +1,34 @@
+package org.plantainferry.daemon.traffic;
+
+import java.util.Optional;
+import org.plantainferry.api.ServerId;
+import org.plantainferry.api.session.SessionTokenCodec;
+import org.plantainferry.engine.session.SessionRequirement;
+import org.plantainferry.network.target.StatementResult;
+
+/** Turns results of targets into answers with a session token. */
+final class AnswerWriter {
+    private final SessionTokenCodec mTokens;
+
+    AnswerWriter(SessionTokenCodec tokens) {
+        mTokens = tokens;
+    }
+
+    CallerAnswer result(SessionRequirement session, ServerId server, StatementResult result) {
+        StatementAnswerBody body =
+                new StatementAnswerBody(
+                        result.result(),
+                        server,
+                        result.role().wireName(),
+                        result.term(),
+                        result.position());
+        String token = mTokens.encode(session.next(result.logPosition()));
+        return CallerAnswer.result(body, Optional.of(token));
+    }
+
+    CallerAnswer transaction(String id) {
+        return CallerAnswer.result(new TransactionBody(id), Optional.empty());
+    }
+
+    private record TransactionBody(String transaction) {}
+}
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
@@ -9,6 +9,7 @@
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.StatementKind;
 import org.plantainferry.api.Verdict;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.retry.FailedAttempt;
@@ -31,11 +32,11 @@
     private int mAttempts;
     private long mWaitedNanos;
     private long mMinimumPosition;
+    private boolean mWaiting;
 
     PendingRequest(CallerRequest request) {
         mRequest = request;
-        mSession =
-                SessionRequirement.of(request.session(), request.workspace(), request.service());
+        mSession = SessionRequirement.of(request.session(), request.workspace(), request.service());
     }
 
     CallerRequest request() {
@@ -74,6 +75,15 @@
         mMinimumPosition = position;
     }
 
+    /** Returns whether the request waits to be routed again, and has not been meanwhile. */
+    boolean isWaiting() {
+        return mWaiting;
+    }
+
+    void setWaiting(boolean waiting) {
+        mWaiting = waiting;
+    }
+
     void countAttempt() {
         mAttempts++;
     }
@@ -137,7 +147,7 @@
 
     /** A read changes nothing, so a read without a result counts as not run. */
     private Verdict verdictForCaller() {
-        boolean isReadOnly = mRequest.kind() == org.plantainferry.api.StatementKind.READ;
+        boolean isReadOnly = mRequest.kind() == StatementKind.READ;
         return isReadOnly && mRequest.operation() == Operation.STATEMENT
                 ? Verdict.NOT_RUN
                 : mVerdict;
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
@@ -0,0 +1,214 @@
+package org.plantainferry.daemon.traffic;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.engine.configuration.KeyReference;
+import org.plantainferry.engine.session.SessionRequirement;
+import org.plantainferry.network.target.RefusalReason;
+import org.plantainferry.network.target.StatementResult;
+import org.plantainferry.network.target.TargetConnection;
+import org.plantainferry.network.target.TargetProtocol;
+import org.plantainferry.network.target.TargetRefusal;
+import org.plantainferry.network.target.TargetRequest;
+import org.plantainferry.network.target.TargetResponse;
+
+/**
+ * Holds an open transaction and the connection that belongs to it alone.
+ *
+ * <p>Its methods run on the event loop of its lane. One statement runs at a time. When the
+ * connection is lost before the commit, the target rolls the transaction back.
+ */
+final class PinnedTransaction {
+    private final ServiceLane mLane;
+    private final ServerLane mServer;
+    private final TargetConnection mConnection;
+    private final CallerRequest mBegin;
+    private final long mTerm;
+    private final LongSupplier mClock;
+    private Runnable mRemoval = () -> {};
+    private boolean mBusy;
+    private boolean mEnded;
+    private long mUsedNanos;
+
+    PinnedTransaction(
+            ServiceLane lane,
+            ServerLane server,
+            TargetConnection connection,
+            CallerRequest begin,
+            long term,
+            LongSupplier clock) {
+        mLane = lane;
+        mServer = server;
+        mConnection = connection;
+        mBegin = begin;
+        mTerm = term;
+        mClock = clock;
+        mUsedNanos = clock.getAsLong();
+    }
+
+    void setRemoval(Runnable removal) {
+        mRemoval = removal;
+    }
+
+    ServiceLane lane() {
+        return mLane;
+    }
+
+    /** Returns whether the request comes from the workspace that began the transaction. */
+    boolean belongsTo(CallerRequest request) {
+        return mBegin.workspace().equals(request.workspace())
+                && mBegin.service().equals(request.service());
+    }
+
+    boolean isOf(Set<KeyReference> keys) {
+        return mBegin.keyId()
+                .map(id -> keys.contains(new KeyReference(mBegin.workspace(), id)))
+                .orElse(false);
+    }
+
+    boolean isIdle(long olderThanNanos, long nowNanos) {
+        return !mBusy && nowNanos - mUsedNanos > olderThanNanos;
+    }
+
+    /** Runs a statement, the commit or the rollback. */
+    void execute(PendingRequest request) {
+        if (mEnded || !mConnection.isOpen()) {
+            end(false);
+            request.fail(ErrorCode.TRANSACTION_LOST, "the transaction was rolled back", 0);
+            return;
+        }
+        if (mBusy) {
+            request.fail(
+                    ErrorCode.REQUEST_MALFORMED, "the transaction runs another statement", 0);
+            return;
+        }
+        long now = mClock.getAsLong();
+        if (request.remainingMillis(now) <= 0) {
+            request.fail(ErrorCode.DEADLINE_EXCEEDED, "the deadline passed", 0);
+            return;
+        }
+        try {
+            mLane.authority().verifyStillValid(request.request());
+        } catch (PlantainferryException e) {
+            request.fail(e);
+            return;
+        }
+        mBusy = true;
+        request.countAttempt();
+        mConnection
+                .send(targetRequest(request), request.remainingMillis(now))
+                .whenCompleteAsync(
+                        (response, failure) -> completed(request, now, response, failure),
+                        mLane.loop());
+    }
+
+    private TargetRequest targetRequest(PendingRequest request) {
+        return switch (request.request().operation()) {
+            case COMMIT -> TargetProtocol.commit(mTerm, request.requestId());
+            case ROLLBACK -> TargetProtocol.rollback();
+            default ->
+                    TargetProtocol.statement(
+                            request.request().kind(),
+                            request.request().statement(),
+                            mTerm,
+                            0,
+                            Optional.empty());
+        };
+    }
+
+    private void completed(
+            PendingRequest request, long sentNanos, TargetResponse response, Throwable failure) {
+        mBusy = false;
+        mUsedNanos = mClock.getAsLong();
+        Operation operation = request.request().operation();
+        if (failure != null) {
+            end(false);
+            failLost(request, StatementSender.verdictOf(failure));
+            return;
+        }
+        if (TargetProtocol.readStatement(response) instanceof StatementResult result) {
+            if (operation != Operation.TRANSACTION_STATEMENT) {
+                end(true);
+            }
+            succeed(request, sentNanos, result);
+            return;
+        }
+        TargetRefusal refusal = (TargetRefusal) TargetProtocol.readStatement(response);
+        boolean survives =
+                operation == Operation.TRANSACTION_STATEMENT
+                        && refusal.reason()
+                                == RefusalReason.BAD_STATEMENT;
+        if (survives) {
+            request.fail(ErrorCode.STATEMENT_INVALID, refusal.message(), 0);
+            return;
+        }
+        end(false);
+        failLost(request, refusal.verdict());
+    }
+
+    private void succeed(PendingRequest request, long sentNanos, StatementResult result) {
+        if (request.request().operation() != Operation.COMMIT) {
+            answer(request, result);
+            return;
+        }
+        mLane.sender()
+                .check()
+                .decide(
+                        mLane.service(),
+                        result.term(),
+                        sentNanos,
+                        pass -> {
+                            if (pass) {
+                                answer(request, result);
+                            } else {
+                                failLost(request, Verdict.MAY_HAVE_RUN);
+                            }
+                        });
+    }
+
+    private void answer(PendingRequest request, StatementResult result) {
+        SessionRequirement session = request.session();
+        request.succeed(mLane.sender().answers().result(session, mServer.server(), result));
+    }
+
+    /** Only a commit can leave the outcome open; everything else was rolled back. */
+    private void failLost(PendingRequest request, Verdict verdict) {
+        boolean isUncertain =
+                request.request().operation() == Operation.COMMIT
+                        && verdict == Verdict.MAY_HAVE_RUN;
+        if (isUncertain) {
+            request.fail(
+                    new PlantainferryException(
+                            ErrorCode.OUTCOME_UNKNOWN,
+                            "the commit was not confirmed",
+                            Verdict.MAY_HAVE_RUN,
+                            0,
+                            null));
+            return;
+        }
+        request.fail(ErrorCode.TRANSACTION_LOST, "the transaction was rolled back", 0);
+    }
+
+    /** Ends the transaction from outside: its key was withdrawn, or it was idle for too long. */
+    void abort() {
+        end(false);
+    }
+
+    private void end(boolean isConnectionClean) {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mRemoval.run();
+        if (isConnectionClean) {
+            mServer.giveBack(mConnection);
+        } else {
+            mServer.discard(mConnection);
+        }
+        mServer.pump();
+    }
+}
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -0,0 +1,382 @@
+package org.plantainferry.daemon.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.function.LongSupplier;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.ServerId;
+import org.plantainferry.api.StatementKind;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.engine.admission.ConcurrencyLimit;
+import org.plantainferry.engine.retry.FailureCause;
+import org.plantainferry.network.target.RefusalReason;
+import org.plantainferry.network.target.StatementResult;
+import org.plantainferry.network.target.TargetConnection;
+import org.plantainferry.network.target.TargetProtocol;
+import org.plantainferry.network.target.TargetRefusal;
+import org.plantainferry.network.target.TargetRequest;
+import org.plantainferry.network.target.TargetResponse;
+
+/** Sends queued requests to servers and interprets the answers; owned by the lane's event loop. */
+final class StatementSender {
+    /** An attempt that can be repeated gets at least this time, and at most half of the rest. */
+    private static final long REPEATABLE_ATTEMPT_MILLIS = 1_000;
+
+    private static final long PIN_RETRY_MILLIS = 100;
+
+    private final ServiceLane mLane;
+    private final EventLoop mLoop;
+    private final LongSupplier mClock;
+    private final AcknowledgementCheck mCheck;
+    private final TransactionRegistry mTransactions;
+    private final AnswerWriter mAnswers;
+    private final Map<TargetConnection, InFlight> mInFlight = new HashMap<>();
+
+    private record InFlight(ServerLane server, PendingRequest request, long sentNanos) {}
+
+    StatementSender(
+            ServiceLane lane,
+            EventLoop loop,
+            LongSupplier clock,
+            AcknowledgementCheck check,
+            TransactionRegistry transactions,
+            AnswerWriter answers) {
+        mLane = lane;
+        mLoop = loop;
+        mClock = clock;
+        mCheck = check;
+        mTransactions = transactions;
+        mAnswers = answers;
+    }
+
+    AcknowledgementCheck check() {
+        return mCheck;
+    }
+
+    AnswerWriter answers() {
+        return mAnswers;
+    }
+
+    /** Sends a request on a connection that was taken for it. */
+    void send(ServerLane server, PendingRequest request, TargetConnection connection) {
+        long now = mClock.getAsLong();
+        Optional<PlantainferryException> refusal = refusal(server, request, now);
+        if (refusal.isPresent()) {
+            server.giveBack(connection);
+            server.limit().release(ConcurrencyLimit.Outcome.FAILED, 0, now);
+            request.fail(refusal.get());
+            return;
+        }
+        request.countAttempt();
+        InFlight inFlight = new InFlight(server, request, now);
+        mInFlight.put(connection, inFlight);
+        connection
+                .send(targetRequest(request), timeoutMillis(request, now))
+                .whenCompleteAsync(
+                        (response, failure) -> completed(connection, inFlight, response, failure),
+                        mLoop);
+    }
+
+    private Optional<PlantainferryException> refusal(
+            ServerLane server, PendingRequest request, long now) {
+        if (request.remainingMillis(now) <= 0) {
+            return Optional.of(
+                    new PlantainferryException(
+                            ErrorCode.DEADLINE_EXCEEDED, "the deadline passed in the queue"));
+        }
+        if (request.request().operation() == Operation.BEGIN && !server.pool().canPin()) {
+            return Optional.of(
+                    new PlantainferryException(
+                            ErrorCode.OVERLOADED,
+                            "too many open transactions on this instance",
+                            Verdict.NOT_RUN,
+                            PIN_RETRY_MILLIS,
+                            null));
+        }
+        try {
+            mLane.authority().verifyStillValid(request.request());
+            return Optional.empty();
+        } catch (PlantainferryException e) {
+            return Optional.of(e);
+        }
+    }
+
+    private TargetRequest targetRequest(PendingRequest request) {
+        long term = mLane.view().term();
+        if (request.request().operation() == Operation.BEGIN) {
+            return TargetProtocol.begin(term);
+        }
+        return TargetProtocol.statement(
+                request.request().kind(),
+                request.request().statement(),
+                term,
+                request.minimumPosition(),
+                request.requestId());
+    }
+
+    private static long timeoutMillis(PendingRequest request, long now) {
+        long remaining = request.remainingMillis(now);
+        boolean isRepeatable =
+                request.request().isIdempotent()
+                        || request.request().operation() == Operation.BEGIN;
+        if (!isRepeatable) {
+            return remaining;
+        }
+        return Math.min(remaining, Math.max(REPEATABLE_ATTEMPT_MILLIS, remaining / 2));
+    }
+
+    private void completed(
+            TargetConnection connection,
+            InFlight inFlight,
+            TargetResponse response,
+            Throwable failure) {
+        mInFlight.remove(connection);
+        long now = mClock.getAsLong();
+        long latency = now - inFlight.sentNanos();
+        if (failure != null) {
+            inFlight.server()
+                    .limit()
+                    .release(ConcurrencyLimit.Outcome.FAILED, latency, now);
+            inFlight.server().discard(connection);
+            onFailure(inFlight, failure);
+        } else {
+            mLane.view().observeLatency(inFlight.server().server(), latency, now);
+            onResponse(connection, inFlight, response, latency, now);
+        }
+        inFlight.server().pump();
+    }
+
+    private void onFailure(InFlight inFlight, Throwable failure) {
+        ServerId server = inFlight.server().server();
+        mLane.view().observeFailure(server, mClock.getAsLong());
+        mLane.events().statementFailed(mLane.service().name(), server);
+        Verdict verdict = verdictOf(failure);
+        PendingRequest request = inFlight.request();
+        request.exclude(server);
+        // An unfinished transaction is rolled back with its connection.
+        boolean isBegin = request.request().operation() == Operation.BEGIN;
+        Verdict effective = isBegin ? Verdict.NOT_RUN : verdict;
+        mLane.retryOrFail(
+                request,
+                FailureCause.CONNECTION_LOST,
+                effective,
+                lostCode(request, effective),
+                "the connection to the server was lost or timed out");
+    }
+
+    private static ErrorCode lostCode(PendingRequest request, Verdict verdict) {
+        boolean isUncertain =
+                verdict == Verdict.MAY_HAVE_RUN && request.request().kind() == StatementKind.WRITE;
+        return isUncertain ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.TARGET_UNAVAILABLE;
+    }
+
+    static Verdict verdictOf(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        return cause instanceof PlantainferryException error
+                ? error.verdict()
+                : Verdict.MAY_HAVE_RUN;
+    }
+
+    private void onResponse(
+            TargetConnection connection,
+            InFlight inFlight,
+            TargetResponse response,
+            long latency,
+            long now) {
+        ServerLane server = inFlight.server();
+        if (TargetProtocol.readStatement(response) instanceof StatementResult result) {
+            server.limit().release(ConcurrencyLimit.Outcome.ANSWERED, latency, now);
+            observe(server.server(), result, now);
+            onResult(connection, inFlight, result);
+            return;
+        }
+        TargetRefusal refusal = (TargetRefusal) TargetProtocol.readStatement(response);
+        boolean isBusy = refusal.reason() == RefusalReason.BUSY;
+        server.limit()
+                .release(
+                        isBusy
+                                ? ConcurrencyLimit.Outcome.BUSY
+                                : ConcurrencyLimit.Outcome.ANSWERED,
+                        latency,
+                        now);
+        giveBackAfter(refusal, server, connection);
+        observe(server.server(), refusal, now);
+        onRefusal(inFlight, refusal);
+    }
+
+    private static void giveBackAfter(
+            TargetRefusal refusal, ServerLane server, TargetConnection connection) {
+        boolean isStateUnknown =
+                refusal.reason() == RefusalReason.UNREADABLE
+                        || refusal.reason() == RefusalReason.TOO_MANY_CONNECTIONS;
+        if (isStateUnknown) {
+            server.discard(connection);
+        } else {
+            server.giveBack(connection);
+        }
+    }
+
+    private void observe(ServerId server, StatementResult result, long now) {
+        long term = mLane.view().term();
+        Optional<ServerId> primary = mLane.view().primary();
+        mLane.view()
+                .observeAnswer(
+                        server,
+                        result.role(),
+                        result.term(),
+                        result.position(),
+                        result.lagMillis().orElse(0L),
+                        now);
+        mLane.afterObservation(term, primary);
+    }
+
+    private void observe(ServerId server, TargetRefusal refusal, long now) {
+        if (refusal.term().isEmpty()) {
+            return;
+        }
+        long term = mLane.view().term();
+        Optional<ServerId> primary = mLane.view().primary();
+        mLane.view()
+                .observeRefusal(
+                        server,
+                        refusal.term().get(),
+                        refusal.position().orElse(0L),
+                        refusal.reason() == RefusalReason.LEAVING,
+                        refusal.reason() == RefusalReason.NOT_PRIMARY,
+                        now);
+        mLane.afterObservation(term, primary);
+    }
+
+    private void onResult(
+            TargetConnection connection, InFlight inFlight, StatementResult result) {
+        PendingRequest request = inFlight.request();
+        ServerLane server = inFlight.server();
+        if (request.request().operation() == Operation.BEGIN) {
+            pin(connection, server, request, result);
+            return;
+        }
+        server.giveBack(connection);
+        if (request.request().kind() == StatementKind.READ) {
+            onReadResult(server, request, result);
+            return;
+        }
+        mCheck.decide(
+                mLane.service(),
+                result.term(),
+                inFlight.sentNanos(),
+                pass -> onWriteChecked(server, request, result, pass));
+    }
+
+    private void onReadResult(
+            ServerLane server, PendingRequest request, StatementResult result) {
+        boolean isTooOld =
+                request.request()
+                        .maximumAgeMillis()
+                        .map(most -> result.lagMillis().orElse(0L) > most)
+                        .orElse(false);
+        if (isTooOld || !request.session().isSatisfiedBy(result.logPosition())) {
+            request.exclude(server.server());
+            mLane.retryOrFail(
+                    request,
+                    FailureCause.BEHIND,
+                    Verdict.NOT_RUN,
+                    ErrorCode.TARGET_UNAVAILABLE,
+                    "no server has reached the position that the session has seen");
+            return;
+        }
+        request.succeed(mAnswers.result(request.session(), server.server(), result));
+    }
+
+    private void onWriteChecked(
+            ServerLane server, PendingRequest request, StatementResult result, boolean pass) {
+        if (pass) {
+            request.succeed(mAnswers.result(request.session(), server.server(), result));
+            return;
+        }
+        mLane.retryOrFail(
+                request,
+                FailureCause.UNCONFIRMED,
+                Verdict.MAY_HAVE_RUN,
+                ErrorCode.OUTCOME_UNKNOWN,
+                "the primary may have been replaced before it confirmed the write");
+    }
+
+    private void pin(
+            TargetConnection connection,
+            ServerLane server,
+            PendingRequest request,
+            StatementResult result) {
+        if (request.isAnswered() || !server.pool().canPin()) {
+            server.discard(connection);
+            request.fail(
+                    ErrorCode.OVERLOADED,
+                    "too many open transactions on this instance",
+                    PIN_RETRY_MILLIS);
+            return;
+        }
+        server.pool().pin(connection);
+        PinnedTransaction transaction =
+                new PinnedTransaction(
+                        mLane, server, connection, request.request(), result.term(), mClock);
+        String id = mTransactions.add(transaction);
+        request.succeed(mAnswers.transaction(id));
+    }
+
+    private void onRefusal(InFlight inFlight, TargetRefusal refusal) {
+        PendingRequest request = inFlight.request();
+        FailureCause cause = causeOf(refusal.reason());
+        boolean isWrongServer =
+                cause == FailureCause.BEHIND || cause == FailureCause.WRONG_SERVER;
+        if (isWrongServer) {
+            request.exclude(inFlight.server().server());
+        }
+        String detail = refusal.message().isEmpty() ? "" : ": " + refusal.message();
+        mLane.retryOrFail(
+                request,
+                cause,
+                refusal.verdict(),
+                refusal.reason().code(),
+                "the server refused the request (" + refusal.reason().wireName() + ")" + detail);
+    }
+
+    static FailureCause causeOf(RefusalReason reason) {
+        return switch (reason) {
+            case STALE_TERM, NOT_PRIMARY, LEAVING -> FailureCause.WRONG_SERVER;
+            case BEHIND -> FailureCause.BEHIND;
+            case BUSY, TOO_MANY_CONNECTIONS -> FailureCause.BUSY;
+            case UNCONFIRMED -> FailureCause.UNCONFIRMED;
+            case BAD_STATEMENT -> FailureCause.REQUEST_REJECTED;
+            default -> FailureCause.CONNECTION_LOST;
+        };
+    }
+
+    /**
+     * Ends writes that wait for a primary of an earlier term.
+     *
+     * <p>Such a primary can confirm nothing any more, so waiting for its answer only delays the
+     * verdict.
+     */
+    void abandonWritesOutside(Optional<ServerId> primary) {
+        List<TargetConnection> abandoned = new ArrayList<>();
+        mInFlight.forEach(
+                (connection, inFlight) -> {
+                    boolean isWrite = inFlight.request().request().kind() == StatementKind.WRITE;
+                    boolean isElsewhere =
+                            primary.isPresent()
+                                    && !primary.get().equals(inFlight.server().server());
+                    if (isWrite && isElsewhere) {
+                        abandoned.add(connection);
+                    }
+                });
+        abandoned.forEach(TargetConnection::close);
+    }
+}
--- a/plantainferry-daemon/src/test/java/org/plantainferry/daemon/settings/SettingsReaderTest.java
+++ b/plantainferry-daemon/src/test/java/org/plantainferry/daemon/settings/SettingsReaderTest.java
@@ -49,7 +49,7 @@
                 {"instance": "Como A", "failureDomain": 7, "localAddress": "127.0.1.1",
                  "callerListener": "127.0.1.1:99999", "peerListener": "127.0.1.1:7070",
                  "operatorListener": "127.0.1.1:9090", "sessionSecretFiles": ["missing"],
-                 "drainSeconds": -1, "colour": "red", "tls": {"keyFile": "x"}}
+                 "drainSeconds": -1, "colour": "red", "tls": {"colour": "x"}}
                 """;
         PlantainferryException error = expectThrows(PlantainferryException.class, () -> read(bad));
         assertEquals(error.code(), ErrorCode.CONFIGURATION_INVALID);
@@ -61,8 +61,8 @@
             "store: is missing",
             "sessionSecretFiles[0] = \"missing\": is not a readable file",
             "drainSeconds = -1: must be a whole number from 0 to 3600",
-            "tls.keyFile = \"x\": no such setting",
-            "tls.keyStoreFile: is missing"
+            "tls.colour = \"x\": no such setting",
+            "tls.certificateFile: is missing"
         };
         for (String each : expected) {
             assertTrue(error.getMessage().contains(each), each + " in " + error.getMessage());
