--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
@@ -75,8 +75,8 @@
      * Takes in an answer of the store.
      *
      * @param version the version that the store holds
-     * @param sentNanos when the request was sent; for a watch that ended without a change, that time
-     *     plus the wait it asked for, because the store answers an empty watch no sooner
+     * @param sentNanos when the request was sent; for a watch that ended without a change, that
+     *     time plus the wait it asked for, because the store answers an empty watch no sooner
      */
     public void onStoreAnswer(long version, long sentNanos, long nowNanos) {
         if (!mStoreTried || sentNanos - mStoreNanos >= 0) {
