Add stand-ins of the store and the database group

Both serve the protocol with Undertow and take faults through a Java API and control endpoints.

Undertow's listener is opened through XNIO, because its own listener neither counts connections before their first request nor closes them when it stops.

A new primary appends an entry "TERM n", and earlier entries are confirmed only together with it: an entry of an older term on a majority can still be replaced by a server whose last entry has a newer term.

--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/Exchanges.java
@@ -0,0 +1,77 @@
+package org.plantainferry.verification.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.Optional;
+import org.plantainferry.api.json.Json;
+import org.xnio.IoUtils;
+
+/**
+ * Reads requests and writes answers of stand-ins.
+ *
+ * @since 0.1
+ */
+public final class Exchanges {
+    private Exchanges() {}
+
+    /**
+     * Reads the body as text; empty when it is longer than the limit.
+     *
+     * <p>Blocks, and so must run on a task thread.
+     */
+    public static Optional<String> body(HttpServerExchange exchange, int maxBytes)
+            throws IOException {
+        if (exchange.getRequestContentLength() > maxBytes) {
+            return Optional.empty();
+        }
+        if (!exchange.isBlocking()) {
+            exchange.startBlocking();
+        }
+        byte[] bytes = exchange.getInputStream().readNBytes(maxBytes + 1);
+        return bytes.length > maxBytes
+                ? Optional.empty()
+                : Optional.of(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    /** Answers with a status and a JSON body. */
+    public static void answer(HttpServerExchange exchange, int status, Object json) {
+        answerText(exchange, status, Json.write(json));
+    }
+
+    /** Answers with a status and a body that is JSON text already. */
+    public static void answerText(HttpServerExchange exchange, int status, String text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(text, StandardCharsets.UTF_8);
+    }
+
+    /** Closes the connection of a request without an answer. */
+    public static void drop(HttpServerExchange exchange) {
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    /** Returns the source IP address of a request. */
+    public static InetAddress source(HttpServerExchange exchange) {
+        return exchange.getSourceAddress().getAddress();
+    }
+
+    /** Returns a query parameter. */
+    public static Optional<String> parameter(HttpServerExchange exchange, String name) {
+        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::peekFirst);
+    }
+
+    /**
+     * Returns a query parameter that must be present.
+     *
+     * @throws IllegalArgumentException when it is absent
+     */
+    public static String required(HttpServerExchange exchange, String name) {
+        return parameter(exchange, name)
+                .orElseThrow(
+                        () -> new IllegalArgumentException("no query parameter \"" + name + "\""));
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/GroupStandIn.java
@@ -0,0 +1,238 @@
+package org.plantainferry.verification.standin.group;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.verification.standin.HttpEndpoint;
+import org.xnio.XnioWorker;
+
+/**
+ * Stands in for one database group, with all its servers in this process and faults on demand.
+ *
+ * <p>Every fault has a method here and an endpoint on the control address. Servers are named by
+ * their identifiers in the settings; another name is refused with an {@link
+ * IllegalArgumentException}.
+ *
+ * @since 0.1
+ */
+public final class GroupStandIn implements AutoCloseable {
+    private static final int TASK_THREADS = 512;
+
+    private final XnioWorker mWorker = HttpEndpoint.createWorker(TASK_THREADS);
+    private final GroupCounters mCounters = new GroupCounters();
+    private final Set<String> mForbiddenTexts = ConcurrentHashMap.newKeySet();
+    private final DatabaseGroup mGroup;
+    private final Map<String, ServerContext> mContexts = new LinkedHashMap<>();
+    private final Map<String, HttpEndpoint> mEndpoints = new LinkedHashMap<>();
+    private final HttpEndpoint mControl;
+
+    /** Starts all servers; the first one is the primary in term 1. */
+    public GroupStandIn(GroupSettings settings) {
+        List<String> names = settings.servers().stream().map(GroupSettings.Server::id).toList();
+        mGroup = new DatabaseGroup(names, settings.lagMillisOrDefault());
+        settings.forbiddenTexts().ifPresent(mForbiddenTexts::addAll);
+        for (DatabaseServer server : mGroup.servers()) {
+            ServerContext context = new ServerContext(mGroup, server, settings, mCounters);
+            mContexts.put(server.name(), context);
+            ServerHandler handler =
+                    new ServerHandler(
+                            context,
+                            mForbiddenTexts,
+                            exchange ->
+                                    mEndpoints
+                                            .get(server.name())
+                                            .isExcess(exchange.getConnection().getPeerAddress()));
+            mEndpoints.put(
+                    server.name(),
+                    new HttpEndpoint(
+                            HttpEndpoint.parseAddress(
+                                    settings.servers().get(server.index()).address()),
+                            mWorker,
+                            settings.connectionLimitOrDefault(),
+                            handler));
+        }
+        mEndpoints.values().forEach(HttpEndpoint::start);
+        mControl =
+                new HttpEndpoint(
+                        HttpEndpoint.parseAddress(settings.control()),
+                        mWorker,
+                        Integer.MAX_VALUE,
+                        new GroupControl(this));
+        mControl.start();
+    }
+
+    /** Returns the names of the servers, in the order of the settings. */
+    public List<String> serverNames() {
+        return List.copyOf(mContexts.keySet());
+    }
+
+    /** Returns the address at which a server listens. */
+    public InetSocketAddress address(String server) {
+        return endpoint(server).address();
+    }
+
+    /** Returns the address of the control endpoints. */
+    public InetSocketAddress controlAddress() {
+        return mControl.address();
+    }
+
+    /**
+     * Ends the process of a server: its connections close, it stops listening and replicating.
+     *
+     * <p>Its log and its fencing promise remain, as on a disk.
+     */
+    public void stop(String server) {
+        int index = context(server).server().index();
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setStopped(index, true);
+                    return true;
+                });
+        endpoint(server).stop();
+    }
+
+    /** Starts a stopped server, which has no role until a primary contacts it. */
+    public void start(String server) {
+        int index = context(server).server().index();
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setStopped(index, false);
+                    return true;
+                });
+        endpoint(server).start();
+    }
+
+    /** Pauses or resumes the process of a server; paused, it keeps connections without answers. */
+    public void setFrozen(String server, boolean frozen) {
+        int index = context(server).server().index();
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setFrozen(index, frozen);
+                    return true;
+                });
+    }
+
+    /** Cuts or heals the link between two servers. */
+    public void setCut(String first, String second, boolean cut) {
+        int firstIndex = context(first).server().index();
+        int secondIndex = context(second).server().index();
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setCut(firstIndex, secondIndex, cut);
+                    return true;
+                });
+    }
+
+    /** Holds back requests and answers between a server and a source IP address. */
+    public void cutSource(String server, String sourceIp) {
+        context(server).cutSource(parseIp(sourceIp));
+    }
+
+    /** Ends the cut of a source IP address; what was held back passes on. */
+    public void healSource(String server, String sourceIp) {
+        context(server).healSource(parseIp(sourceIp));
+    }
+
+    /** Sets the time after which an entry reaches a replica. */
+    public void setLagMillis(String server, long millis) {
+        int index = context(server).server().index();
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setLagNanos(index, TimeUnit.MILLISECONDS.toNanos(millis));
+                    return true;
+                });
+    }
+
+    /** Marks a server as leaving: it refuses new work and finishes open transactions. */
+    public void setLeaving(String server, boolean leaving) {
+        context(server).setLeaving(leaving);
+    }
+
+    /** Sets the time for which a statement at a server holds its slot. */
+    public void setServiceMillis(String server, long millis) {
+        context(server).setServiceMillis(millis);
+    }
+
+    /** Adds a text that no request may contain, such as a caller's key. */
+    public void forbid(String text) {
+        mForbiddenTexts.add(text);
+    }
+
+    /** Returns a copy of the log of a server, with unconfirmed entries. */
+    public List<LogEntry> log(String server) {
+        DatabaseServer databaseServer = context(server).server();
+        return mGroup.read(() -> databaseServer.log().entries());
+    }
+
+    /** Returns the position up to which a server knows its log to be confirmed. */
+    public long confirmedPosition(String server) {
+        return state(server).confirmedPosition();
+    }
+
+    /** Returns the number of requests that carried a caller's key or another forbidden text. */
+    public int violationCount() {
+        return mCounters.violations().size();
+    }
+
+    /** Returns the open connections of a server. */
+    public int connectionCount(String server) {
+        return endpoint(server).connectionCount();
+    }
+
+    /** Returns the highest number of connections of a server at the same time. */
+    public int peakConnections(String server) {
+        return endpoint(server).peakConnections();
+    }
+
+    @Override
+    public void close() {
+        mControl.close();
+        mEndpoints.values().forEach(HttpEndpoint::close);
+        mGroup.close();
+        mWorker.shutdownNow();
+    }
+
+    GroupCounters counters() {
+        return mCounters;
+    }
+
+    GroupAnswers.State state(String server) {
+        return context(server).state();
+    }
+
+    List<GroupAnswers.State> states() {
+        List<GroupAnswers.State> states = new ArrayList<>();
+        mContexts.values().forEach(context -> states.add(context.state()));
+        return states;
+    }
+
+    private ServerContext context(String server) {
+        return present(mContexts.get(server), server);
+    }
+
+    private HttpEndpoint endpoint(String server) {
+        return present(mEndpoints.get(server), server);
+    }
+
+    private static <T> T present(T value, String server) {
+        if (value == null) {
+            throw new IllegalArgumentException("no such server: " + server);
+        }
+        return value;
+    }
+
+    private static InetAddress parseIp(String ip) {
+        try {
+            return InetAddress.getByName(ip);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not an IP address: " + ip, e);
+        }
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/ServerHandler.java
@@ -0,0 +1,181 @@
+package org.plantainferry.verification.standin.group;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.json.Json;
+import org.plantainferry.verification.standin.Exchanges;
+import org.plantainferry.verification.standin.group.GroupAnswers.Answer;
+import org.plantainferry.verification.standin.group.GroupAnswers.Invalid;
+
+/** Serves the protocol of one database server (section 13.2 of the design page). */
+final class ServerHandler implements HttpHandler {
+    private static final int MAX_BODY_BYTES = 1024 * 1024;
+    private static final HttpString REQUEST_NUMBER = new HttpString("Request-Number");
+    private static final AttachmentKey<Connection> CONNECTION =
+            AttachmentKey.create(Connection.class);
+
+    /** Holds the transaction of a connection; it goes with the connection, which rolls it back. */
+    private static final class Connection {
+        private Optional<Transaction> mTransaction = Optional.empty();
+    }
+
+    private final ServerContext mContext;
+    private final StatementService mStatements;
+    private final Set<String> mForbiddenTexts;
+    private final Predicate<HttpServerExchange> mIsExcess;
+
+    ServerHandler(
+            ServerContext context,
+            Set<String> forbiddenTexts,
+            Predicate<HttpServerExchange> isExcess) {
+        mContext = context;
+        mStatements = new StatementService(context);
+        mForbiddenTexts = forbiddenTexts;
+        mIsExcess = isExcess;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) throws Exception {
+        if (exchange.isInIoThread()) {
+            exchange.dispatch(this);
+            return;
+        }
+        mContext.awaitReachable(Exchanges.source(exchange));
+        String number = exchange.getRequestHeaders().getFirst(REQUEST_NUMBER);
+        if (number != null) {
+            exchange.getResponseHeaders().put(REQUEST_NUMBER, number);
+        }
+        Answer answer = answerTo(exchange, number != null);
+        mContext.awaitReachable(Exchanges.source(exchange));
+        if (mContext.isStopped()) {
+            Exchanges.drop(exchange);
+            return;
+        }
+        Exchanges.answer(exchange, answer.status(), answer.body());
+    }
+
+    private Answer answerTo(HttpServerExchange exchange, boolean isNumbered) throws Exception {
+        Optional<Connection> connection = connection(exchange);
+        if (connection.isEmpty()) {
+            exchange.setPersistent(false);
+            return new Answer(503, new GroupAnswers.Busy("too_many_connections"));
+        }
+        Optional<String> body = Exchanges.body(exchange, MAX_BODY_BYTES);
+        if (body.isEmpty()) {
+            exchange.setPersistent(false);
+            return new Answer(400, Invalid.statement("the body is too large"));
+        }
+        Optional<String> violation = violation(exchange, body.get());
+        if (violation.isPresent()) {
+            mContext.counters()
+                    .violation(
+                            new GroupCounters.Violation(
+                                    mContext.server().name(),
+                                    exchange.getRequestPath(),
+                                    violation.get()));
+            return new Answer(400, Invalid.statement(violation.get()));
+        }
+        if (!isNumbered) {
+            return new Answer(400, Invalid.statement("no header Request-Number"));
+        }
+        try {
+            return route(exchange, connection.get(), body.get());
+        } catch (PlantainferryException e) {
+            return new Answer(400, Invalid.statement(e.getMessage()));
+        }
+    }
+
+    /** Returns the state of the connection, after the time it takes to open a new one. */
+    private Optional<Connection> connection(HttpServerExchange exchange)
+            throws InterruptedException {
+        Connection known = exchange.getConnection().getAttachment(CONNECTION);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        TimeUnit.MILLISECONDS.sleep(mContext.openMillis());
+        if (mIsExcess.test(exchange)) {
+            return Optional.empty();
+        }
+        Connection opened = new Connection();
+        exchange.getConnection().putAttachment(CONNECTION, opened);
+        return Optional.of(opened);
+    }
+
+    private Optional<String> violation(HttpServerExchange exchange, String body) {
+        if (exchange.getRequestHeaders().contains(Headers.AUTHORIZATION)) {
+            return Optional.of("the request has an Authorization header");
+        }
+        String request =
+                exchange.getRequestURI()
+                        + "?"
+                        + exchange.getQueryString()
+                        + exchange.getRequestHeaders()
+                        + body;
+        boolean isForbidden = mForbiddenTexts.stream().anyMatch(request::contains);
+        return isForbidden
+                ? Optional.of("the request contains a forbidden text")
+                : Optional.empty();
+    }
+
+    private Answer route(HttpServerExchange exchange, Connection connection, String body)
+            throws InterruptedException {
+        String call = exchange.getRequestMethod() + " " + exchange.getRequestPath();
+        switch (call) {
+            case "GET /state":
+                return new Answer(200, mContext.state());
+            case "POST /statement":
+                GroupRequests.Statement statement = read(body, GroupRequests.Statement.class);
+                return counted(
+                        statement.kind().wireName(),
+                        mStatements.statement(statement, connection.mTransaction));
+            case "POST /begin":
+                return begin(connection, read(body, GroupRequests.Begin.class));
+            case "POST /commit":
+                GroupRequests.Commit commit = read(body, GroupRequests.Commit.class);
+                Optional<Transaction> ending = connection.mTransaction;
+                connection.mTransaction = Optional.empty();
+                return counted("commit", mStatements.commit(commit, ending));
+            case "POST /rollback":
+                connection.mTransaction = Optional.empty();
+                return mStatements.rollback();
+            case "POST /fence":
+                return mContext.fence(read(body, GroupRequests.Proposal.class));
+            case "POST /promote":
+                return mContext.promote(read(body, GroupRequests.Proposal.class));
+            default:
+                return new Answer(404, Invalid.statement("no such call: " + call));
+        }
+    }
+
+    private Answer begin(Connection connection, GroupRequests.Begin request) {
+        if (connection.mTransaction.isPresent()) {
+            return new Answer(400, Invalid.statement("a transaction is open on the connection"));
+        }
+        Answer answer = mStatements.begin(request);
+        if (answer.isOk()) {
+            connection.mTransaction = Optional.of(new Transaction(request.term().orElseThrow()));
+        }
+        return answer;
+    }
+
+    private Answer counted(String kind, Answer answer) {
+        if (answer.body() instanceof GroupAnswers.Result) {
+            String role = ((GroupAnswers.Result) answer.body()).role();
+            mContext.counters().served(mContext.server().name(), kind, role);
+        }
+        return answer;
+    }
+
+    private static <T> T read(String body, Class<T> type) {
+        return Json.read(body, type, ErrorCode.REQUEST_MALFORMED);
+    }
+}
