--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/HeartbeatController.java
@@ -0,0 +1,153 @@
+package org.plantainferry.daemon.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.engine.configuration.ConfigurationFetch;
+import org.plantainferry.engine.membership.GroupTerm;
+import org.plantainferry.engine.membership.HeartbeatTarget;
+import org.plantainferry.engine.membership.HeartbeatView;
+import org.plantainferry.engine.membership.MembershipTable;
+import org.plantainferry.network.peer.PeerTransport;
+import org.plantainferry.network.peer.generated.ConfigurationAnswer;
+import org.plantainferry.network.peer.generated.ConfigurationRequest;
+import org.plantainferry.network.peer.generated.PeerMessage;
+
+/** Exchanges heartbeats and fetches newer configurations from peers. */
+final class HeartbeatController {
+    private static final long TICK_MILLIS = 50;
+    private static final long FETCH_TIMEOUT_MILLIS = 1_000;
+    private static final long ANSWER_TIMEOUT_MILLIS =
+            TimeUnit.NANOSECONDS.toMillis(MembershipTable.ANSWER_TIMEOUT_NANOS);
+
+    private final ControlContext mContext;
+    private final FleetState mFleet;
+    private final PeerTransport mPeers;
+    private final Supplier<List<GroupTerm>> mTerms;
+    private final Listener mListener;
+
+    /** Receives what heartbeats bring; called on the control thread. */
+    interface Listener {
+        /** Takes in a heartbeat or the answer to one. */
+        void onHeartbeat(HeartbeatView heartbeat);
+
+        /** Takes in the JSON text of a configuration that a peer has. */
+        void onConfiguration(String json);
+    }
+
+    HeartbeatController(
+            ControlContext context,
+            FleetState fleet,
+            PeerTransport peers,
+            Supplier<List<GroupTerm>> terms,
+            Listener listener) {
+        mContext = context;
+        mFleet = fleet;
+        mPeers = peers;
+        mTerms = terms;
+        mListener = listener;
+    }
+
+    void start() {
+        mContext.loop().runEvery("heartbeat", TICK_MILLIS, this::tick);
+    }
+
+    private void tick() {
+        long now = mContext.now();
+        List<HeartbeatTarget> targets = mFleet.membership().tick(now);
+        boolean wantsAnswers = mFleet.freshness().wantsAnswers(now);
+        targets.forEach(target -> beat(target, wantsAnswers));
+        fetchWhenBehind(now);
+    }
+
+    private void beat(HeartbeatTarget target, boolean wantsAnswers) {
+        long now = mContext.now();
+        boolean answerWanted = target.answerWanted() || wantsAnswers;
+        PeerMessage message = message(answerWanted, now);
+        if (!answerWanted) {
+            mPeers.send(target.address(), message);
+            return;
+        }
+        mPeers.call(target.address(), message, ANSWER_TIMEOUT_MILLIS)
+                .whenComplete(
+                        (answer, failure) ->
+                                mContext.loop()
+                                        .run(
+                                                "heartbeat answer",
+                                                () -> onAnswer(target.peer(), answer, failure, now)));
+    }
+
+    private PeerMessage message(boolean answerWanted, long now) {
+        HeartbeatView view =
+                mFleet.membership()
+                        .heartbeat(
+                                mFleet.freshness().status(mTerms.get(), now), answerWanted, now);
+        return PeerMessage.newBuilder().setHeartbeat(PeerMessages.write(view)).build();
+    }
+
+    private void onAnswer(InstanceId peer, PeerMessage answer, Throwable failure, long sentNanos) {
+        if (failure != null || !answer.hasHeartbeat()) {
+            mFleet.membership().onHeartbeatFailure(peer, mContext.now());
+            return;
+        }
+        HeartbeatView view = PeerMessages.read(answer.getHeartbeat());
+        long now = mContext.now();
+        mFleet.membership().onHeartbeat(view, now);
+        mFleet.freshness().onHeartbeatAnswer(view, sentNanos, now);
+        mFleet.configurations().onPeerVersion(view.instance(), view.status().configurationVersion());
+        mListener.onHeartbeat(view);
+    }
+
+    /** Takes in a heartbeat and returns the answer to it. */
+    PeerMessage onHeartbeat(HeartbeatView view) {
+        long now = mContext.now();
+        mFleet.membership().onHeartbeat(view, now);
+        mFleet.freshness().onHeartbeat(view, now);
+        mFleet.configurations().onPeerVersion(view.instance(), view.status().configurationVersion());
+        mListener.onHeartbeat(view);
+        return message(false, now);
+    }
+
+    private void fetchWhenBehind(long now) {
+        mFleet.configurations().nextFetch(now).ifPresent(this::fetch);
+    }
+
+    private void fetch(ConfigurationFetch fetch) {
+        List<String> address = new ArrayList<>();
+        mFleet.membership().peerAddress(fetch.peer()).ifPresent(address::add);
+        if (address.isEmpty()) {
+            mFleet.configurations().onFetchFailed(fetch.peer());
+            return;
+        }
+        PeerMessage request =
+                PeerMessage.newBuilder()
+                        .setConfigurationRequest(
+                                ConfigurationRequest.newBuilder()
+                                        .setNewerThan(fetch.newerThan()))
+                        .build();
+        Consumer<PeerMessage> onAnswer = answer -> onConfiguration(fetch, answer);
+        mPeers.call(address.get(0), request, FETCH_TIMEOUT_MILLIS)
+                .whenComplete(
+                        (answer, failure) ->
+                                mContext.loop().run("fetch", () -> onAnswer.accept(answer)));
+    }
+
+    private void onConfiguration(ConfigurationFetch fetch, PeerMessage answer) {
+        boolean isFound =
+                answer != null
+                        && answer.hasConfigurationAnswer()
+                        && answer.getConfigurationAnswer().getFound();
+        if (!isFound) {
+            mFleet.configurations().onFetchFailed(fetch.peer());
+            return;
+        }
+        ConfigurationAnswer found = answer.getConfigurationAnswer();
+        mListener.onConfiguration(found.getConfiguration());
+        if (mFleet.configuration().version() <= fetch.newerThan()) {
+            mFleet.configurations().onFetchFailed(fetch.peer());
+        }
+    }
+}
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsFile.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/settings/SettingsFile.java
@@ -39,8 +39,7 @@
                     POLICY,
                     TLS);
 
-    static final Set<String> TLS_PROPERTIES =
-            Set.of(CERTIFICATE_FILE, TRUST_FILE, KEY_FILE);
+    static final Set<String> TLS_PROPERTIES = Set.of(CERTIFICATE_FILE, TRUST_FILE, KEY_FILE);
 
     private SettingsFile() {}
 
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
@@ -82,8 +82,7 @@
             return;
         }
         if (mBusy) {
-            request.fail(
-                    ErrorCode.REQUEST_MALFORMED, "the transaction runs another statement", 0);
+            request.fail(ErrorCode.REQUEST_MALFORMED, "the transaction runs another statement", 0);
             return;
         }
         long now = mClock.getAsLong();
@@ -140,8 +139,7 @@
         TargetRefusal refusal = (TargetRefusal) TargetProtocol.readStatement(response);
         boolean survives =
                 operation == Operation.TRANSACTION_STATEMENT
-                        && refusal.reason()
-                                == RefusalReason.BAD_STATEMENT;
+                        && refusal.reason() == RefusalReason.BAD_STATEMENT;
         if (survives) {
             request.fail(ErrorCode.STATEMENT_INVALID, refusal.message(), 0);
             return;
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
@@ -135,8 +135,7 @@
         mView.update(service);
         ConnectionShare share = ConnectionShare.of(service.connectionLimit(), instances);
         for (TargetServer target : service.servers()) {
-            ServerLane lane =
-                    mServers.computeIfAbsent(target.id(), id -> newServer(target, share));
+            ServerLane lane = mServers.computeIfAbsent(target.id(), id -> newServer(target, share));
             lane.setAddress(target.address());
             lane.pool().resize(share);
             workspaces.forEach(each -> lane.setWeight(each.name(), each.effectiveWeight()));
@@ -299,10 +298,7 @@
     }
 
     @Override
-    public void send(
-            ServerLane lane,
-            PendingRequest request,
-            TargetConnection connection) {
+    public void send(ServerLane lane, PendingRequest request, TargetConnection connection) {
         mSender.send(lane, request, connection);
     }
 
@@ -329,8 +325,7 @@
             ErrorCode code,
             String message) {
         long now = mClock.getAsLong();
-        RetryDecision decision =
-                mRetryPolicy.decide(request.failedAttempt(cause, verdict), now);
+        RetryDecision decision = mRetryPolicy.decide(request.failedAttempt(cause, verdict), now);
         if (decision instanceof RetryDecision.Repeat repeat) {
             repeat(request, repeat.delayNanos());
             return;
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/SnapshotAuthority.java
@@ -0,0 +1,77 @@
+package org.plantainferry.daemon.traffic;
+
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.ServiceName;
+import org.plantainferry.api.configuration.OpenRoute;
+import org.plantainferry.engine.configuration.Authentication;
+import org.plantainferry.engine.configuration.Freshness;
+import org.plantainferry.engine.configuration.KeyReference;
+
+/**
+ * Decides on keys from the latest snapshot.
+ *
+ * @since 0.1
+ */
+public final class SnapshotAuthority implements CallerAuthority {
+    private final Supplier<TrafficSnapshot> mSnapshot;
+    private final LongSupplier mClock;
+
+    /** Creates an authority that reads the snapshot at each call. */
+    public SnapshotAuthority(Supplier<TrafficSnapshot> snapshot, LongSupplier clock) {
+        mSnapshot = snapshot;
+        mClock = clock;
+    }
+
+    @Override
+    public KeyHolder authenticate(String key, ServiceName service) {
+        TrafficSnapshot snapshot = mSnapshot.get();
+        Freshness freshness = snapshot.freshness().at(mClock.getAsLong());
+        KeyReference reference = granted(snapshot.keys().authenticate(Optional.of(key), freshness));
+        checkService(snapshot, reference, service);
+        return new KeyHolder(reference.workspace(), reference.keyId());
+    }
+
+    private static KeyReference granted(Authentication authentication) {
+        if (authentication instanceof Authentication.Granted granted) {
+            return granted.key();
+        }
+        throw ((Authentication.Refused) authentication).toException();
+    }
+
+    private static void checkService(
+            TrafficSnapshot snapshot, KeyReference reference, ServiceName service) {
+        Optional<Authentication.Refused> refusal =
+                snapshot.keys().refuseService(reference.workspace(), service);
+        if (refusal.isPresent()) {
+            throw refusal.get().toException();
+        }
+    }
+
+    @Override
+    public OpenRoute openRoute(String name) {
+        return mSnapshot
+                .get()
+                .keys()
+                .openRoute(name)
+                .orElseThrow(
+                        () ->
+                                new PlantainferryException(
+                                        ErrorCode.NOT_FOUND, "no such open route"));
+    }
+
+    @Override
+    public void verifyStillValid(CallerRequest request) {
+        if (request.keyId().isEmpty()) {
+            return;
+        }
+        TrafficSnapshot snapshot = mSnapshot.get();
+        Freshness freshness = snapshot.freshness().at(mClock.getAsLong());
+        KeyReference reference = new KeyReference(request.workspace(), request.keyId().get());
+        granted(snapshot.keys().reauthenticate(reference, freshness));
+        checkService(snapshot, reference, request.service());
+    }
+}
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -15,6 +15,7 @@
 import org.plantainferry.api.Verdict;
 import org.plantainferry.engine.admission.ConcurrencyLimit;
 import org.plantainferry.engine.retry.FailureCause;
+import org.plantainferry.engine.routing.ServerRole;
 import org.plantainferry.network.target.RefusalReason;
 import org.plantainferry.network.target.StatementResult;
 import org.plantainferry.network.target.TargetConnection;
@@ -140,9 +141,7 @@
         long now = mClock.getAsLong();
         long latency = now - inFlight.sentNanos();
         if (failure != null) {
-            inFlight.server()
-                    .limit()
-                    .release(ConcurrencyLimit.Outcome.FAILED, latency, now);
+            inFlight.server().limit().release(ConcurrencyLimit.Outcome.FAILED, latency, now);
             inFlight.server().discard(connection);
             onFailure(inFlight, failure);
         } else {
@@ -203,9 +202,7 @@
         boolean isBusy = refusal.reason() == RefusalReason.BUSY;
         server.limit()
                 .release(
-                        isBusy
-                                ? ConcurrencyLimit.Outcome.BUSY
-                                : ConcurrencyLimit.Outcome.ANSWERED,
+                        isBusy ? ConcurrencyLimit.Outcome.BUSY : ConcurrencyLimit.Outcome.ANSWERED,
                         latency,
                         now);
         giveBackAfter(refusal, server, connection);
@@ -231,7 +228,7 @@
         mLane.view()
                 .observeAnswer(
                         server,
-                        result.role(),
+                        ServerRole.valueOf(result.role().name()),
                         result.term(),
                         result.position(),
                         result.lagMillis().orElse(0L),
@@ -256,8 +253,7 @@
         mLane.afterObservation(term, primary);
     }
 
-    private void onResult(
-            TargetConnection connection, InFlight inFlight, StatementResult result) {
+    private void onResult(TargetConnection connection, InFlight inFlight, StatementResult result) {
         PendingRequest request = inFlight.request();
         ServerLane server = inFlight.server();
         if (request.request().operation() == Operation.BEGIN) {
@@ -276,8 +272,7 @@
                 pass -> onWriteChecked(server, request, result, pass));
     }
 
-    private void onReadResult(
-            ServerLane server, PendingRequest request, StatementResult result) {
+    private void onReadResult(ServerLane server, PendingRequest request, StatementResult result) {
         boolean isTooOld =
                 request.request()
                         .maximumAgeMillis()
@@ -334,8 +329,7 @@
     private void onRefusal(InFlight inFlight, TargetRefusal refusal) {
         PendingRequest request = inFlight.request();
         FailureCause cause = causeOf(refusal.reason());
-        boolean isWrongServer =
-                cause == FailureCause.BEHIND || cause == FailureCause.WRONG_SERVER;
+        boolean isWrongServer = cause == FailureCause.BEHIND || cause == FailureCause.WRONG_SERVER;
         if (isWrongServer) {
             request.exclude(inFlight.server().server());
         }
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/TrafficDirector.java
@@ -0,0 +1,242 @@
+package org.plantainferry.daemon.traffic;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.engine.drain.DrainView;
+import org.plantainferry.engine.limit.Acquisition;
+import org.plantainferry.engine.limit.WorkspaceBucket;
+import org.plantainferry.engine.membership.Member;
+
+/**
+ * Leads each request through drain, limits and routing to a lane, or to the instance that holds its
+ * transaction or the connections to its service.
+ *
+ * @since 0.1
+ */
+public final class TrafficDirector implements RequestGateway {
+    private static final long DRAIN_RETRY_MILLIS = 100;
+    private static final long NO_RATE_RETRY_MILLIS = 500;
+
+    /** A grant usually arrives after one round trip between instances, a few milliseconds. */
+    private static final long GRANT_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+
+    private final InstanceId mSelf;
+    private final Supplier<TrafficSnapshot> mSnapshot;
+    private final LaneDirectory mLanes;
+    private final RateGate mRates;
+    private final RequestForwarder mForwarder;
+    private final EventLoopGroup mGroup;
+    private final LongSupplier mClock;
+
+    /** Creates a director. */
+    public TrafficDirector(
+            InstanceId self,
+            Supplier<TrafficSnapshot> snapshot,
+            LaneDirectory lanes,
+            RateGate rates,
+            RequestForwarder forwarder,
+            EventLoopGroup group,
+            LongSupplier clock) {
+        mSelf = self;
+        mSnapshot = snapshot;
+        mLanes = lanes;
+        mRates = rates;
+        mForwarder = forwarder;
+        mGroup = group;
+        mClock = clock;
+    }
+
+    @Override
+    public CompletableFuture<CallerAnswer> handle(CallerRequest request) {
+        Optional<PlantainferryException> refusal = refusalByDrain(request);
+        if (refusal.isPresent()) {
+            return CompletableFuture.completedFuture(CallerAnswer.refusal(refusal.get()));
+        }
+        if (isFreeOfCharge(request)) {
+            return place(request);
+        }
+        Optional<WorkspaceBucket> bucket = mRates.bucket(request.workspace());
+        if (bucket.isEmpty()) {
+            return refused(
+                    ErrorCode.RATE_EXCEEDED,
+                    "the workspace has no rate here yet",
+                    NO_RATE_RETRY_MILLIS);
+        }
+        CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+        Acquisition first = bucket.get().tryAcquire(mClock.getAsLong());
+        follow(request, bucket.get(), first, mGroup.next(), answer);
+        return answer;
+    }
+
+    /**
+     * Handles a request that another instance has authenticated and counted against the rate.
+     *
+     * <p>Work that is already inside the fleet is finished even while this instance drains.
+     */
+    public CompletableFuture<CallerAnswer> handleForwarded(CallerRequest request) {
+        return request.operation().isInsideTransaction() ? inTransaction(request) : run(request);
+    }
+
+    /** Ending a transaction is not charged, so that a limit never keeps one open. */
+    private static boolean isFreeOfCharge(CallerRequest request) {
+        return request.operation() == Operation.COMMIT || request.operation() == Operation.ROLLBACK;
+    }
+
+    private Optional<PlantainferryException> refusalByDrain(CallerRequest request) {
+        DrainView drain = mSnapshot.get().drain();
+        boolean isAccepted =
+                switch (request.operation()) {
+                    case STATEMENT -> drain.acceptsRequests();
+                    case BEGIN -> drain.acceptsTransactions();
+                    default -> drain.continuesTransactions();
+                };
+        if (isAccepted) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new PlantainferryException(
+                        ErrorCode.DRAINING,
+                        "the instance shuts down; use another one",
+                        Verdict.NOT_RUN,
+                        DRAIN_RETRY_MILLIS,
+                        null));
+    }
+
+    private void follow(
+            CallerRequest request,
+            WorkspaceBucket bucket,
+            Acquisition acquisition,
+            EventLoop loop,
+            CompletableFuture<CallerAnswer> answer) {
+        if (acquisition instanceof Acquisition.Granted) {
+            place(request).thenAccept(answer::complete);
+            return;
+        }
+        if (acquisition instanceof Acquisition.Refused refused) {
+            answer.complete(
+                    CallerAnswer.refusal(
+                            new PlantainferryException(
+                                    ErrorCode.RATE_EXCEEDED,
+                                    "the rate and burst of workspace "
+                                            + request.workspace()
+                                            + " are used up",
+                                    Verdict.NOT_RUN,
+                                    refused.retryAfterMillis(),
+                                    null)));
+            return;
+        }
+        mRates.requestGrant();
+        long wait = Math.min(GRANT_POLL_NANOS, ((Acquisition.Wait) acquisition).nanos());
+        loop.schedule(
+                () -> {
+                    Acquisition next = bucket.retryAcquire(mClock.getAsLong());
+                    follow(request, bucket, next, loop, answer);
+                },
+                wait,
+                TimeUnit.NANOSECONDS);
+    }
+
+    private CompletableFuture<CallerAnswer> place(CallerRequest request) {
+        if (request.operation().isInsideTransaction()) {
+            return inTransaction(request);
+        }
+        TrafficSnapshot snapshot = mSnapshot.get();
+        List<InstanceId> gateways = snapshot.gateways().getOrDefault(request.service(), List.of());
+        if (gateways.isEmpty() || gateways.contains(mSelf)) {
+            return run(request);
+        }
+        // Spreads the requests of an instance over the gateways without shared state.
+        int start = Math.floorMod(mSelf.hashCode() + (int) mClock.getAsLong(), gateways.size());
+        for (int offset = 0; offset < gateways.size(); offset++) {
+            InstanceId gateway = gateways.get((start + offset) % gateways.size());
+            Optional<Member> member = snapshot.members().member(gateway);
+            if (member.isPresent()) {
+                return mForwarder.forward(member.get(), request);
+            }
+        }
+        return run(request);
+    }
+
+    private CompletableFuture<CallerAnswer> inTransaction(CallerRequest request) {
+        String id = request.transaction().orElse("");
+        Optional<InstanceId> holder = TransactionRegistry.holder(id);
+        if (holder.isEmpty()) {
+            return refused(ErrorCode.NOT_FOUND, "no such transaction", 0);
+        }
+        if (holder.get().equals(mSelf)) {
+            return inOwnTransaction(request, id);
+        }
+        Optional<Member> member = mSnapshot.get().members().member(holder.get());
+        if (member.isEmpty()) {
+            return lostWithInstance(request);
+        }
+        return mForwarder.forward(member.get(), request);
+    }
+
+    /** The instance is gone, and its connections with it; only a commit may have run. */
+    private static CompletableFuture<CallerAnswer> lostWithInstance(CallerRequest request) {
+        boolean isCommit = request.operation() == Operation.COMMIT;
+        PlantainferryException error =
+                new PlantainferryException(
+                        ErrorCode.TRANSACTION_LOST,
+                        "the instance that held the transaction is not available",
+                        isCommit ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
+                        0,
+                        null);
+        return CompletableFuture.completedFuture(CallerAnswer.refusal(error));
+    }
+
+    private CompletableFuture<CallerAnswer> inOwnTransaction(CallerRequest request, String id) {
+        Optional<PinnedTransaction> found =
+                mLanes.transactions().find(id).filter(each -> each.belongsTo(request));
+        if (found.isEmpty()) {
+            return lostWithInstance(request);
+        }
+        return pending(
+                request,
+                pending -> {
+                    PinnedTransaction transaction = found.get();
+                    transaction.lane().loop().execute(() -> transaction.execute(pending));
+                });
+    }
+
+    private CompletableFuture<CallerAnswer> run(CallerRequest request) {
+        Optional<ServiceLane> lane = mLanes.lane(request.service());
+        if (lane.isEmpty()) {
+            return refused(ErrorCode.NOT_FOUND, "no such service", 0);
+        }
+        return pending(
+                request, pending -> lane.get().loop().execute(() -> lane.get().submit(pending)));
+    }
+
+    private static CompletableFuture<CallerAnswer> pending(
+            CallerRequest request, Consumer<PendingRequest> start) {
+        PendingRequest pending;
+        try {
+            pending = new PendingRequest(request);
+        } catch (PlantainferryException e) {
+            return CompletableFuture.completedFuture(CallerAnswer.refusal(e));
+        }
+        start.accept(pending);
+        return pending.answer();
+    }
+
+    private static CompletableFuture<CallerAnswer> refused(
+            ErrorCode code, String message, long retryAfterMillis) {
+        return CompletableFuture.completedFuture(
+                CallerAnswer.refusal(
+                        new PlantainferryException(
+                                code, message, Verdict.NOT_RUN, retryAfterMillis, null)));
+    }
+}
