Test the network module with scripted servers

The servers in the tests see the bare socket, so that they can answer late, twice, with a wrong number, cut short or not at all. The TLS files in the test resources belong to two authorities made for these tests.

--- /dev/null
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/peer/NettyPeerTransportTest.java
@@ -0,0 +1,294 @@
+package org.plantainferry.network.peer;
+
+import static org.plantainferry.network.http.Failures.await;
+import static org.plantainferry.network.http.Failures.failsWith;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.network.http.ScriptedServer;
+import org.plantainferry.network.peer.generated.ConfigurationRequest;
+import org.plantainferry.network.peer.generated.Heartbeat;
+import org.plantainferry.network.peer.generated.PeerMessage;
+import org.testng.Reporter;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against answers that reach another call, wrong verdicts, and harm by one bad peer. */
+public class NettyPeerTransportTest {
+    private static final long TIMEOUT_MILLIS = 5_000;
+
+    private final List<NettyPeerTransport> mTransports = new ArrayList<>();
+    private EventLoopGroup mGroup;
+
+    @BeforeMethod
+    public void start() {
+        mGroup = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    }
+
+    @AfterMethod
+    public void stop() throws Exception {
+        mTransports.forEach(NettyPeerTransport::close);
+        mTransports.clear();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).get();
+    }
+
+    /** Guards against crossed answers among calls in progress on one connection. */
+    @Test
+    public void eachCallGetsItsOwnAnswer() throws Exception {
+        List<CompletableFuture<PeerMessage>> answers = new ArrayList<>();
+        NettyPeerTransport peer =
+                transport(
+                        message -> {
+                            CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+                            synchronized (answers) {
+                                answers.add(answer);
+                                if (answers.size() == 3) {
+                                    // In the reverse order of the calls.
+                                    answers.get(2).complete(request(3));
+                                    answers.get(1).complete(request(2));
+                                    answers.get(0).complete(request(1));
+                                }
+                            }
+                            return answer;
+                        });
+        NettyPeerTransport caller = transport(echo());
+        List<CompletableFuture<PeerMessage>> calls = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            calls.add(caller.call(address(peer), request(i), TIMEOUT_MILLIS));
+        }
+        for (int i = 1; i <= 3; i++) {
+            assertEquals(numberIn(await(calls.get(i - 1))), i);
+        }
+    }
+
+    /** Guards against messages without an answer that are lost at the first use of a peer. */
+    @Test
+    public void sendsWithoutAnswer() throws Exception {
+        LinkedBlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+        NettyPeerTransport peer =
+                transport(
+                        message -> {
+                            received.add(message);
+                            return CompletableFuture.completedFuture(null);
+                        });
+        PeerMessage heartbeat =
+                PeerMessage.newBuilder()
+                        .setHeartbeat(Heartbeat.newBuilder().setInstance("i1"))
+                        .build();
+        transport(echo()).send(address(peer), heartbeat);
+        assertEquals(received.poll(5, TimeUnit.SECONDS), heartbeat);
+    }
+
+    /** Guards against a late answer that completes a later call. */
+    @Test
+    public void lateAnswerIsDropped() throws Exception {
+        CompletableFuture<PeerMessage> late = new CompletableFuture<>();
+        NettyPeerTransport peer =
+                transport(
+                        message ->
+                                numberIn(message) == 1
+                                        ? late
+                                        : CompletableFuture.completedFuture(message));
+        NettyPeerTransport caller = transport(echo());
+        failsWith(caller.call(address(peer), request(1), 100), Verdict.MAY_HAVE_RUN);
+        late.complete(request(1));
+        assertEquals(numberIn(await(caller.call(address(peer), request(2), TIMEOUT_MILLIS))), 2);
+    }
+
+    /** Guards against "may have run" for calls that never left, and calls during the backoff. */
+    @Test
+    public void unreachablePeerMeansNotRun() throws Exception {
+        NettyPeerTransport peer = transport(echo());
+        String address = address(peer);
+        peer.close();
+        NettyPeerTransport caller = transport(echo());
+        for (int i = 0; i < 3; i++) {
+            PlantainferryException error =
+                    failsWith(caller.call(address, request(1), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+            assertEquals(error.code(), ErrorCode.PEER_UNAVAILABLE);
+        }
+        failsWith(caller.call("no address", request(1), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+        caller.send("no address", request(1));
+    }
+
+    /** Guards against "not run" for a call that reached a peer which then broke off. */
+    @Test
+    public void lostConnectionMeansMayHaveRunAndIsReplaced() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(socket -> socket.getInputStream().read())) {
+            NettyPeerTransport caller = transport(echo());
+            failsWith(
+                    caller.call(server.address(), request(1), TIMEOUT_MILLIS),
+                    Verdict.MAY_HAVE_RUN);
+            server.nextSocket();
+            // The connection was short, so the backoff comes first.
+            Thread.sleep(100);
+            caller.call(server.address(), request(1), TIMEOUT_MILLIS);
+            server.nextSocket();
+        }
+    }
+
+    /** Guards against a dead connection that stays in use after a partition. */
+    @Test
+    public void silentConnectionIsReplaced() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            while (socket.getInputStream().read() >= 0) {}
+                        })) {
+            NettyPeerTransport caller = transport(echo());
+            for (int i = 0; i < 5; i++) {
+                failsWith(caller.call(server.address(), request(1), 500), Verdict.MAY_HAVE_RUN);
+            }
+            caller.call(server.address(), request(1), 500);
+            server.nextSocket();
+            server.nextSocket();
+        }
+    }
+
+    /** Guards against unbounded memory for a peer that does not answer. */
+    @Test
+    public void boundsPendingCalls() throws Exception {
+        NettyPeerTransport peer = transport(message -> new CompletableFuture<>());
+        NettyPeerTransport caller = transport(echo());
+        for (int i = 0; i < 16; i++) {
+            caller.call(address(peer), request(i), TIMEOUT_MILLIS);
+        }
+        CompletableFuture<PeerMessage> surplus =
+                caller.call(address(peer), request(1), TIMEOUT_MILLIS);
+        assertTrue(surplus.isCompletedExceptionally());
+        failsWith(surplus, Verdict.NOT_RUN);
+    }
+
+    /** Guards against calls that stay open when the transport is closed. */
+    @Test
+    public void closeFailsCallsInProgress() throws Exception {
+        NettyPeerTransport peer = transport(message -> new CompletableFuture<>());
+        NettyPeerTransport caller = transport(echo());
+        CompletableFuture<PeerMessage> call =
+                caller.call(address(peer), request(1), TIMEOUT_MILLIS);
+        caller.close();
+        assertTrue(await(call.handle((answer, error) -> error)) != null);
+        failsWith(caller.call(address(peer), request(1), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+    }
+
+    /** Guards against one bad connection that harms another, and frames without a limit. */
+    @Test
+    public void malformedFrameClosesOnlyItsConnection() throws Exception {
+        long seed = new Random().nextLong();
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        NettyPeerTransport peer = transport(echo());
+        NettyPeerTransport caller = transport(echo());
+        await(caller.call(address(peer), request(1), TIMEOUT_MILLIS));
+        for (int round = 0; round < 100; round++) {
+            byte[] noise = new byte[1 + random.nextInt(300)];
+            random.nextBytes(noise);
+            try (Socket bad = connect(peer)) {
+                bad.getOutputStream().write(noise);
+            }
+        }
+        // A varint of six bytes, a length of 2 MB and 1 byte, and a frame that is no message.
+        byte[][] frames = {
+            {-1, -1, -1, -1, -1, -1}, {-127, -128, -128, 1}, {2, 10, 127},
+        };
+        for (byte[] frame : frames) {
+            try (Socket bad = connect(peer)) {
+                bad.getOutputStream().write(frame);
+                bad.setSoTimeout(5_000);
+                assertEquals(bad.getInputStream().read(), -1);
+            }
+        }
+        assertEquals(numberIn(await(caller.call(address(peer), request(5), TIMEOUT_MILLIS))), 5);
+    }
+
+    /** Guards against peers without a certificate of the fleet, in either direction. */
+    @Test
+    public void tlsDemandsCertificateOfTheFleet() throws Exception {
+        NettyPeerTransport peer = transport(echo(), Optional.of(tls("fleet")));
+        NettyPeerTransport caller = transport(echo(), Optional.of(tls("fleet")));
+        assertEquals(numberIn(await(caller.call(address(peer), request(5), TIMEOUT_MILLIS))), 5);
+        for (Optional<PeerTls> other : List.of(Optional.of(tls("other")), Optional.of(mixed()))) {
+            NettyPeerTransport stranger = transport(echo(), other);
+            CompletableFuture<PeerMessage> call =
+                    stranger.call(address(peer), request(5), TIMEOUT_MILLIS);
+            assertTrue(await(call.handle((answer, error) -> error)) != null);
+        }
+        NettyPeerTransport plain = transport(echo());
+        failsWith(plain.call(address(peer), request(5), TIMEOUT_MILLIS), Verdict.MAY_HAVE_RUN);
+        assertFalse(peer.listenAddress().isUnresolved());
+    }
+
+    private static Socket connect(NettyPeerTransport peer) throws Exception {
+        return new Socket(InetAddress.getLoopbackAddress(), peer.listenAddress().getPort());
+    }
+
+    /** Trusts the fleet but has a certificate of another authority. */
+    private static PeerTls mixed() throws Exception {
+        return PeerTls.fromFiles(
+                file("other-instance.pem"), file("other-instance.key"), file("fleet-ca.pem"));
+    }
+
+    private static PeerTls tls(String authority) throws Exception {
+        return PeerTls.fromFiles(
+                file(authority + "-instance.pem"),
+                file(authority + "-instance.key"),
+                file(authority + "-ca.pem"));
+    }
+
+    private static Path file(String name) throws Exception {
+        return Path.of(NettyPeerTransportTest.class.getResource("/tls/" + name).toURI());
+    }
+
+    private static PeerHandler echo() {
+        return CompletableFuture::completedFuture;
+    }
+
+    private static PeerMessage request(long number) {
+        return PeerMessage.newBuilder()
+                .setConfigurationRequest(ConfigurationRequest.newBuilder().setNewerThan(number))
+                .build();
+    }
+
+    private static long numberIn(PeerMessage message) {
+        return message.getConfigurationRequest().getNewerThan();
+    }
+
+    private static String address(NettyPeerTransport transport) {
+        return "127.0.0.1:" + transport.listenAddress().getPort();
+    }
+
+    private NettyPeerTransport transport(PeerHandler handler) {
+        return transport(handler, Optional.empty());
+    }
+
+    private NettyPeerTransport transport(PeerHandler handler, Optional<PeerTls> tls) {
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        NettyPeerTransport transport =
+                new NettyPeerTransport(
+                        mGroup,
+                        new PeerSettings(
+                                new InetSocketAddress(loopback, 0), Optional.of(loopback), tls, 16),
+                        handler);
+        mTransports.add(transport);
+        return transport;
+    }
+}
--- /dev/null
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/store/HttpPlatformStoreTest.java
@@ -0,0 +1,239 @@
+package org.plantainferry.network.store;
+
+import static org.plantainferry.network.http.Failures.await;
+import static org.plantainferry.network.http.Failures.failsWith;
+import static org.plantainferry.network.http.ScriptedServer.answer;
+import static org.plantainferry.network.http.ScriptedServer.readRequest;
+import static org.plantainferry.network.http.ScriptedServer.write;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.network.http.ScriptedServer;
+import org.testng.Reporter;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against changes that are taken for not made, and answers that are read wrongly. */
+public class HttpPlatformStoreTest {
+    private static final StoreTimeouts TIMEOUTS = new StoreTimeouts(500, 500, 300);
+
+    private final LinkedBlockingQueue<String> mRequests = new LinkedBlockingQueue<>();
+    private EventLoopGroup mGroup;
+
+    @BeforeClass
+    public void start() {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @BeforeMethod
+    public void clear() {
+        mRequests.clear();
+    }
+
+    @AfterClass
+    public void stop() {
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Guards against lost versions, and against an absent object that counts as a failure. */
+    @Test
+    public void readsObjects() throws Exception {
+        try (ScriptedServer server = serve(answer(200, "ETag: \"7\"\r\n", "{\"a\":1}"))) {
+            assertEquals(
+                    await(store(server).get("groups/ledger")).orElseThrow(),
+                    new StoreObject("groups/ledger", 7, Optional.of("{\"a\":1}")));
+            assertTrue(mRequests.take().startsWith("GET /objects/groups/ledger HTTP/1.1"));
+        }
+        try (ScriptedServer server = serve(answer(404, "", ""))) {
+            assertEquals(await(store(server).get("absent")), Optional.empty());
+        }
+    }
+
+    /** Guards against changes without their condition. */
+    @Test
+    public void sendsConditions() throws Exception {
+        try (ScriptedServer server = serve(answer(200, "ETag: \"8\"\r\n", ""))) {
+            HttpPlatformStore store = store(server);
+            assertEquals(await(store.put("a", "1", WriteCondition.atVersion(7))), Optional.of(8L));
+            assertTrue(mRequests.take().toLowerCase().contains("if-match: \"7\"\r\n"));
+            await(store.put("a", "1", WriteCondition.ABSENT));
+            assertTrue(mRequests.take().toLowerCase().contains("if-none-match: *\r\n"));
+            assertTrue(await(store.delete("a", 8)));
+            assertTrue(mRequests.take().toLowerCase().contains("if-match: \"8\"\r\n"));
+        }
+        try (ScriptedServer server = serve(answer(412, "", ""))) {
+            HttpPlatformStore store = store(server);
+            assertEquals(await(store.put("a", "1", WriteCondition.ABSENT)), Optional.empty());
+            assertFalse(await(store.delete("a", 1)));
+        }
+    }
+
+    /** Lists answers that leave open whether a change was made. */
+    @DataProvider
+    public Object[][] uncertainAnswers() {
+        return new Object[][] {
+            {"lost", ""},
+            {"outage", answer(503, "", "")},
+            {"error", answer(500, "", "")},
+            {"no version", answer(200, "ETag: \"x\"\r\n", "")},
+            {"cut", "HTTP/1.1 200 X\r\nETag: \"8\"\r\nContent-Length: 5\r\n\r\n{"},
+            {"too large", answer(200, "ETag: \"8\"\r\n", "x".repeat(5 * 1024 * 1024))},
+        };
+    }
+
+    /** Guards against a change that may have been made and is reported as not made. */
+    @Test(dataProvider = "uncertainAnswers")
+    public void uncertainChangeMayHaveRun(String what, String text) throws Exception {
+        try (ScriptedServer server = serve(text)) {
+            HttpPlatformStore store = store(server);
+            assertEquals(
+                    failsWith(store.put("a", "1", WriteCondition.ABSENT), Verdict.MAY_HAVE_RUN)
+                            .code(),
+                    ErrorCode.STORE_UNAVAILABLE);
+            failsWith(store.get("a"), Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against a removal that may have been made and is reported as not made. */
+    @Test
+    public void lateAnswerToRemovalMayHaveRun() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            readRequest(socket);
+                            readRequest(socket);
+                        })) {
+            failsWith(store(server).delete("a", 1), Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    /** Guards against "may have run" for changes that never left the instance. */
+    @Test
+    public void unreachableStoreMeansNotRun() throws Exception {
+        ScriptedServer server = serve("");
+        HttpPlatformStore store = store(server);
+        server.close();
+        failsWith(store.put("a", "1", WriteCondition.ABSENT), Verdict.NOT_RUN);
+        store.close();
+        failsWith(store.delete("a", 1), Verdict.NOT_RUN);
+    }
+
+    /** Guards against listings without removed objects, and values that change their form. */
+    @Test
+    public void readsListings() throws Exception {
+        String body =
+                "{\"revision\":9,\"objects\":[{\"path\":\"a\",\"version\":1,\"value\":\"{}\"},"
+                        + "{\"path\":\"b\",\"version\":2,\"value\":null}]}";
+        try (ScriptedServer server = serve(answer(200, "", body))) {
+            StoreListing listing = await(store(server).watch("x/ y", 8, 10));
+            assertEquals(listing.revision(), 9);
+            assertEquals(
+                    listing.objects(),
+                    List.of(
+                            new StoreObject("a", 1, Optional.of("{}")),
+                            new StoreObject("b", 2, Optional.empty())));
+        }
+        String instances =
+                "{\"instances\":[{\"id\":\"i1\",\"failureDomain\":\"como-a\",\"peerAddress\":\"1\","
+                        + "\"callerAddress\":\"2\",\"operatorAddress\":\"3\",\"state\":\"live\","
+                        + "\"new\":1}]}";
+        try (ScriptedServer server = serve(answer(200, "", instances))) {
+            assertEquals(await(store(server).instances()).get(0).operatorAddress(), "3");
+        }
+    }
+
+    /** Guards against a watch that ends at the timeout of a call, or never. */
+    @Test
+    public void watchHasItsOwnTimeout() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            while (!readRequest(socket).isEmpty()) {
+                                Thread.sleep(800);
+                                write(socket, answer(200, "", "{\"revision\":1,\"objects\":[]}"));
+                            }
+                        })) {
+            HttpPlatformStore store = store(server);
+            assertEquals(await(store.watch("", 0, 1_500)).revision(), 1);
+            failsWith(store.watch("", 0, 100), Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against unbounded calls while the store hangs. */
+    @Test
+    public void boundsCallsInProgress() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(socket -> readRequest(socket).concat(readRequest(socket)))) {
+            HttpPlatformStore store = store(server);
+            for (int i = 0; i < 32; i++) {
+                store.watch("", 0, 5_000);
+            }
+            CompletableFuture<?> surplus = store.get("a");
+            assertTrue(surplus.isCompletedExceptionally());
+            store.close();
+        }
+    }
+
+    /** Guards against damaged answers that throw out of the client or never complete. */
+    @Test
+    public void survivesDamagedAnswers() throws Exception {
+        long seed = new Random().nextLong();
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        for (int round = 0; round < 100; round++) {
+            byte[] text =
+                    answer(200, "ETag: \"7\"\r\n", "{\"revision\":9,\"objects\":[]}").getBytes();
+            for (int flips = 1 + random.nextInt(4); flips > 0; flips--) {
+                text[random.nextInt(text.length)] = (byte) random.nextInt();
+            }
+            try (ScriptedServer server =
+                    new ScriptedServer(
+                            socket -> {
+                                readRequest(socket);
+                                socket.getOutputStream().write(text);
+                            })) {
+                HttpPlatformStore store = store(server);
+                CompletableFuture<?> listing = store.list("");
+                await(listing.handle((value, error) -> error));
+                if (listing.isCompletedExceptionally()) {
+                    failsWith(listing, Verdict.NOT_RUN);
+                }
+                store.close();
+            }
+        }
+    }
+
+    private ScriptedServer serve(String text) throws Exception {
+        return new ScriptedServer(
+                socket -> {
+                    for (String request = readRequest(socket);
+                            !request.isEmpty();
+                            request = readRequest(socket)) {
+                        mRequests.add(request);
+                        write(socket, text);
+                        if (!text.endsWith("}") && !text.endsWith("\r\n\r\n")) {
+                            return;
+                        }
+                    }
+                });
+    }
+
+    private HttpPlatformStore store(ScriptedServer server) {
+        return new HttpPlatformStore(mGroup, server.address(), Optional.empty(), TIMEOUTS);
+    }
+}
--- /dev/null
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/target/NettyTargetConnectorTest.java
@@ -0,0 +1,253 @@
+package org.plantainferry.network.target;
+
+import static org.plantainferry.network.http.Failures.await;
+import static org.plantainferry.network.http.Failures.failsWith;
+import static org.plantainferry.network.http.ScriptedServer.answer;
+import static org.plantainferry.network.http.ScriptedServer.numberOf;
+import static org.plantainferry.network.http.ScriptedServer.readRequest;
+import static org.plantainferry.network.http.ScriptedServer.write;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.StatementKind;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.network.http.ScriptedServer;
+import org.testng.Reporter;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against answers that reach another request, and against wrong verdicts. */
+public class NettyTargetConnectorTest {
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long SHORT_TIMEOUT_MILLIS = 100;
+
+    private EventLoopGroup mGroup;
+    private NettyTargetConnector mConnector;
+
+    @BeforeClass
+    public void start() {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mConnector = new NettyTargetConnector(mGroup, Optional.empty());
+    }
+
+    @AfterClass
+    public void stop() {
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Guards against requests that lose their number, path or body, and against lost reuse. */
+    @Test
+    public void carriesOneRequestAfterAnother() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            for (String request = readRequest(socket);
+                                    !request.isEmpty();
+                                    request = readRequest(socket)) {
+                                String body = request.substring(request.indexOf("\r\n\r\n") + 4);
+                                write(socket, numbered(request, 200, body));
+                            }
+                        })) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            for (String body : new String[] {"{\"a\":1}", "{\"a\":\"ü\"}"}) {
+                TargetRequest request = new TargetRequest("POST", "/statement", Optional.of(body));
+                assertEquals(
+                        await(connection.send(request, TIMEOUT_MILLIS)),
+                        new TargetResponse(200, body));
+            }
+            assertTrue(connection.isOpen());
+        }
+    }
+
+    /** Each script answers in a way that leaves the outcome open. */
+    @DataProvider
+    public Object[][] brokenAnswers() {
+        String large = "x".repeat(9 * 1024 * 1024);
+        return new Object[][] {
+            {"crossed", script("HTTP/1.1 200 X\r\nRequest-Number: 7\r\nContent-Length: 0\r\n\r\n")},
+            {"without number", script("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")},
+            {"cut in the body", script("HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\n{}")},
+            {"cut in the headers", script("HTTP/1.1 200 X\r\nConte")},
+            {"none", script("")},
+            {"not HTTP", script("hello\r\n\r\n")},
+            {"too large", script(answer(200, "", large))},
+            {
+                "closed while the request arrives",
+                (ScriptedServer.Script) s -> s.getInputStream().read()
+            }
+        };
+    }
+
+    /** Guards against a broken answer that counts as "not run" or leaves the connection in use. */
+    @Test(dataProvider = "brokenAnswers")
+    public void closesOnBrokenAnswer(String what, ScriptedServer.Script script) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(script)) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            failsWith(connection.send(put(), TIMEOUT_MILLIS), Verdict.MAY_HAVE_RUN);
+            assertFalse(connection.isOpen(), what);
+            failsWith(connection.send(put(), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against a late answer that reaches the next request on the connection. */
+    @Test
+    public void lateAnswerNeverReachesNextRequest() throws Exception {
+        CountDownLatch proceed = new CountDownLatch(1);
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            String request = readRequest(socket);
+                            proceed.await();
+                            write(socket, numbered(request, 200, "late"));
+                        })) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            CompletableFuture<TargetResponse> first = connection.send(put(), SHORT_TIMEOUT_MILLIS);
+            assertEquals(
+                    failsWith(first, Verdict.MAY_HAVE_RUN).code(), ErrorCode.DEADLINE_EXCEEDED);
+            CompletableFuture<TargetResponse> second = connection.send(put(), TIMEOUT_MILLIS);
+            proceed.countDown();
+            failsWith(second, Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against a second answer to a request that is taken for the answer to the next. */
+    @Test
+    public void answerNobodyAskedForClosesTheConnection() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            String text = numbered(readRequest(socket), 200, "1");
+                            write(socket, text + text);
+                            readRequest(socket);
+                            write(socket, text);
+                        })) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            assertEquals(await(connection.send(put(), TIMEOUT_MILLIS)).body(), "1");
+            await(connection.closed());
+            failsWith(connection.send(put(), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against a request on a connection that the server has closed. */
+    @Test
+    public void serverThatClosesBeforeTheRequestMeansNotRun() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(socket -> {})) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            await(connection.closed());
+            assertFalse(connection.isOpen());
+            failsWith(connection.send(put(), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+        }
+    }
+
+    /** Guards against two requests on a connection at once, and harm to the first of them. */
+    @Test
+    public void refusesSecondRequestInProgress() throws Exception {
+        CountDownLatch proceed = new CountDownLatch(1);
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        socket -> {
+                            String request = readRequest(socket);
+                            proceed.await();
+                            write(socket, numbered(request, 200, "1"));
+                            readRequest(socket);
+                        })) {
+            TargetConnection connection = await(mConnector.connect(server.address()));
+            CompletableFuture<TargetResponse> first = connection.send(put(), TIMEOUT_MILLIS);
+            failsWith(connection.send(put(), TIMEOUT_MILLIS), Verdict.NOT_RUN);
+            proceed.countDown();
+            assertEquals(await(first).body(), "1");
+            assertTrue(connection.isOpen());
+            connection.close();
+            await(connection.closed());
+        }
+    }
+
+    /** Guards against a connection attempt that counts as a request. */
+    @Test
+    public void refusedConnectionMeansNotRun() throws Exception {
+        String address;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = "127.0.0.1:" + unused.getLocalPort();
+        }
+        assertEquals(
+                failsWith(mConnector.connect(address), Verdict.NOT_RUN).code(),
+                ErrorCode.TARGET_UNAVAILABLE);
+        failsWith(mConnector.connect("localhost:1"), Verdict.NOT_RUN);
+    }
+
+    /** Guards against connections from an address other than the one of the instance. */
+    @Test
+    public void bindsTheLocalAddress() throws Exception {
+        InetAddress local = InetAddress.getByName("127.0.0.2");
+        NettyTargetConnector connector = new NettyTargetConnector(mGroup, Optional.of(local));
+        try (ScriptedServer server = new ScriptedServer(socket -> readRequest(socket))) {
+            TargetConnection connection = await(connector.connect(server.address()));
+            Socket accepted = server.nextSocket();
+            assertEquals(accepted.getInetAddress(), local);
+            connection.close();
+        }
+    }
+
+    /** Guards against damaged answers that hang, or that keep the connection after a failure. */
+    @Test
+    public void survivesDamagedAnswers() throws Exception {
+        long seed = new Random().nextLong();
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        for (int round = 0; round < 200; round++) {
+            byte[] noise = new byte[random.nextInt(200)];
+            random.nextBytes(noise);
+            int flips = random.nextInt(4);
+            int start = random.nextInt(1_000);
+            try (ScriptedServer server =
+                    new ScriptedServer(
+                            socket -> {
+                                byte[] good =
+                                        numbered(readRequest(socket), 200, "{}").getBytes("UTF-8");
+                                for (int i = 0; i < flips; i++) {
+                                    good[(start + i * 17) % good.length] ^= 1 << i;
+                                }
+                                socket.getOutputStream().write(flips == 0 ? noise : good);
+                            })) {
+                TargetConnection connection = await(mConnector.connect(server.address()));
+                CompletableFuture<TargetResponse> answer = connection.send(put(), TIMEOUT_MILLIS);
+                answer.exceptionally(error -> null).get();
+                if (answer.isCompletedExceptionally()) {
+                    failsWith(answer, Verdict.MAY_HAVE_RUN);
+                    assertFalse(connection.isOpen(), "seed " + seed + " round " + round);
+                }
+                connection.close();
+            }
+        }
+    }
+
+    private static TargetRequest put() {
+        return TargetProtocol.statement(StatementKind.WRITE, "PUT a 1", 1, 0, Optional.empty());
+    }
+
+    private static String numbered(String request, int status, String body) {
+        return answer(status, "Request-Number: " + numberOf(request) + "\r\n", body);
+    }
+
+    private static ScriptedServer.Script script(String text) {
+        return socket -> {
+            readRequest(socket);
+            write(socket, text);
+        };
+    }
+}
