--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupGuardian.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupGuardian.java
@@ -129,7 +129,7 @@
             mElection.get().onFenceAnswer(server, answer, nowNanos);
         }
         if (answer instanceof FenceAnswer.Refused refused) {
-            mView.observe(refused.term(), Optional.empty());
+            mView.observe(refused.term(), Optional.empty(), nowNanos);
         }
         advance(actions, nowNanos);
         return actions;
@@ -143,8 +143,8 @@
             mElection.get().onPromoteAnswer(server, answer);
         }
         if (!answer.promoted()) {
-            mView.observe(answer.term(), Optional.empty());
-        } else if (mView.observe(term, Optional.of(server))) {
+            mView.observe(answer.term(), Optional.empty(), nowNanos);
+        } else if (mView.observe(term, Optional.of(server), nowNanos)) {
             announce(actions, true);
         }
         advance(actions, nowNanos);
@@ -163,7 +163,7 @@
     /** Takes in a term and perhaps its primary, from traffic, a heartbeat or the store. */
     public List<GuardianAction> onTerm(long term, Optional<ServerId> primary, long nowNanos) {
         List<GuardianAction> actions = new ArrayList<>();
-        if (mView.observe(term, primary)) {
+        if (mView.observe(term, primary, nowNanos)) {
             announce(actions);
         }
         advance(actions, nowNanos);
@@ -280,7 +280,8 @@
 
     private void startWhenDue(long nowNanos) {
         GroupView.Cause cause = mView.cause(nowNanos);
-        if (cause != mCause) {
+        boolean isOld = mCauseNanos - mView.changedNanos() < 0;
+        if (cause != mCause || isOld) {
             mCause = cause;
             mCauseNanos = nowNanos;
         }
@@ -311,7 +312,7 @@
         actions.addAll(election.step(avoided, nowNanos));
         if (election.isLost()) {
             election.chosen().ifPresent(mUnresponsive::add);
-            mView.observe(election.term(), Optional.empty());
+            mView.observe(election.term(), Optional.empty(), nowNanos);
             mElection = Optional.empty();
         }
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupView.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupView.java
@@ -29,6 +29,9 @@
     private long mTerm;
     private Optional<ServerId> mPrimary = Optional.empty();
 
+    /** When the term or its primary became known; lost contact counts only from then on. */
+    private long mChangedNanos;
+
     /** Whether a probe showed the primary in its role, and when that probe was sent. */
     private boolean mPrimarySeen;
 
@@ -39,6 +42,7 @@
 
     GroupView(List<ServerId> servers, long nowNanos) {
         mServers = servers;
+        mChangedNanos = nowNanos;
         restart(nowNanos);
     }
 
@@ -58,6 +62,11 @@
         return mTerm;
     }
 
+    /** Returns when the term or its primary became known. */
+    long changedNanos() {
+        return mChangedNanos;
+    }
+
     Optional<ServerId> primary() {
         return mPrimary;
     }
@@ -71,7 +80,7 @@
      *
      * @return whether the primary of the newest term became known
      */
-    boolean observe(long term, Optional<ServerId> primary) {
+    boolean observe(long term, Optional<ServerId> primary, long nowNanos) {
         if (term < mTerm || primary.isPresent() && !mWatches.containsKey(primary.get())) {
             return false;
         }
@@ -79,11 +88,13 @@
             mTerm = term;
             mPrimary = Optional.empty();
             mPrimarySeen = false;
+            mChangedNanos = nowNanos;
         }
         if (primary.isEmpty() || mPrimary.isPresent() || mResignedTerm == mTerm) {
             return false;
         }
         mPrimary = primary;
+        mChangedNanos = nowNanos;
         return true;
     }
 
@@ -97,14 +108,14 @@
             if (state.term() == mTerm && mResignedTerm == mTerm) {
                 mResignedTerm = -1;
             }
-            boolean found = observe(state.term(), Optional.of(state.server()));
+            boolean found = observe(state.term(), Optional.of(state.server()), nowNanos);
             if (state.term() == mTerm) {
                 mPrimarySeen = true;
                 mPrimarySeenNanos = sentNanos;
             }
             return found;
         }
-        observe(state.term(), Optional.empty());
+        observe(state.term(), Optional.empty(), nowNanos);
         boolean resigned =
                 state.term() == mTerm
                         && mPrimary.equals(Optional.of(state.server()))
@@ -113,6 +124,7 @@
         if (resigned) {
             mResignedTerm = mTerm;
             mPrimary = Optional.empty();
+            mChangedNanos = nowNanos;
         }
         return false;
     }
@@ -191,6 +203,9 @@
 
     /** Returns how many servers recently reported no contact with the primary for a time. */
     private long withoutContact(ServerId primary, long nanos, long nowNanos) {
+        if (nowNanos - mChangedNanos < nanos) {
+            return 0;
+        }
         return mServers.stream()
                 .filter(each -> !each.equals(primary))
                 .flatMap(each -> recent(each, nowNanos).stream())
