Test the store and relay stand-ins and fix what the tests found

A watch left out the value of a removed object instead of reporting null, because the shared record of the network module omits absent values.

Requests to a frozen or cut-off server held a thread each, so that steady probes would have stopped the other servers of the process. They are now kept without a thread until the thaw or heal.

A promotion of a server that lacks confirmed entries stops the replication and reports why, rather than ending its thread silently.

--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/DatabaseGroup.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/DatabaseGroup.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -20,6 +21,7 @@
     private final List<DatabaseServer> mServers = new ArrayList<>();
     private final Replication mReplication;
     private final Thread mThread;
+    private Optional<String> mFailure = Optional.empty();
     private boolean mClosed;
 
     DatabaseGroup(List<String> names, long lagMillis) {
@@ -44,6 +46,11 @@
         return mReplication;
     }
 
+    /** Returns why replication stopped, when a promotion broke the rules of section 6. */
+    Optional<String> failure() {
+        return read(() -> mFailure);
+    }
+
     long lagMillis(DatabaseServer server) {
         return server.lagMillis(System.nanoTime(), CONTACT_DELAY_TOLERANCE_NANOS);
     }
@@ -113,6 +120,10 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (IllegalStateException e) {
+            // A proposer promoted the wrong server; going on would hide which one and when.
+            mFailure = Optional.of(e.getMessage());
+            System.err.println("replication stopped: " + e.getMessage());
         } finally {
             mLock.unlock();
         }
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/GroupControl.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/GroupControl.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.util.List;
+import java.util.Optional;
 import org.plantainferry.verification.standin.Exchanges;
 
 /**
@@ -12,8 +13,8 @@
  * and {@code thaw} with {@code server=}; {@code cut} and {@code heal} with {@code first=&second=};
  * {@code cut-source} and {@code heal-source} with {@code server=&source=}; {@code
  * lag?server=&millis=}; {@code leaving?server=&on=}; {@code service-time?server=&millis=}; {@code
- * forbid?text=}. {@code GET /control/log?server=}, {@code /control/counts} and {@code
- * /control/states} read.
+ * lose-answers?server=&count=}; {@code forbid?text=}. {@code GET /control/log?server=}, {@code
+ * /control/counts} and {@code /control/states} read.
  */
 final class GroupControl implements HttpHandler {
     private record Done(boolean done) {}
@@ -26,6 +27,7 @@
     private record Connections(String server, int open, int peak) {}
 
     private record Counts(
+            Optional<String> failure,
             List<GroupCounters.Served> served,
             List<GroupCounters.Leaving> leaving,
             List<GroupCounters.Violation> violations,
@@ -100,6 +102,9 @@
             case "service-time":
                 mGroup.setServiceMillis(server(exchange), millis(exchange));
                 break;
+            case "lose-answers":
+                mGroup.loseAnswers(server(exchange), Integer.parseInt(required(exchange, "count")));
+                break;
             case "forbid":
                 mGroup.forbid(required(exchange, "text"));
                 break;
@@ -117,6 +122,7 @@
     private Counts counts() {
         GroupCounters counters = mGroup.counters();
         return new Counts(
+                mGroup.failure(),
                 counters.served(),
                 counters.leaving(),
                 counters.violations(),
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/GroupStandIn.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/GroupStandIn.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -111,12 +112,7 @@
 
     /** Pauses or resumes the process of a server; paused, it keeps connections without answers. */
     public void setFrozen(String server, boolean frozen) {
-        int index = context(server).server().index();
-        mGroup.locked(
-                () -> {
-                    mGroup.replication().setFrozen(index, frozen);
-                    return true;
-                });
+        context(server).setFrozen(frozen);
     }
 
     /** Cuts or heals the link between two servers. */
@@ -160,6 +156,16 @@
         context(server).setServiceMillis(millis);
     }
 
+    /** Lets the next statements and commits of a server run and closes their connections. */
+    public void loseAnswers(String server, int count) {
+        context(server).loseAnswers(count);
+    }
+
+    /** Returns why replication stopped, when a proposer broke the rules of promotion. */
+    public Optional<String> failure() {
+        return mGroup.failure();
+    }
+
     /** Adds a text that no request may contain, such as a caller's key. */
     public void forbid(String text) {
         mForbiddenTexts.add(text);
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/ServerContext.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/ServerContext.java
@@ -1,8 +1,11 @@
 package org.plantainferry.verification.standin.group;
 
 import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Holds what surrounds one server: its slots, its leaving flag and the cuts to its callers. */
 final class ServerContext {
@@ -12,6 +15,8 @@
     private final GroupCounters mCounters;
     private final Slots mSlots;
     private final Set<InetAddress> mCutSources = ConcurrentHashMap.newKeySet();
+    private final List<Runnable> mParked = new ArrayList<>();
+    private final AtomicInteger mAnswersToLose = new AtomicInteger();
     private volatile boolean mLeaving;
     private volatile long mServiceMillis;
 
@@ -79,6 +84,25 @@
 
     void healSource(InetAddress source) {
         mGroup.locked(() -> mCutSources.remove(source));
+        releaseParked();
+    }
+
+    void setFrozen(boolean frozen) {
+        mGroup.locked(
+                () -> {
+                    mGroup.replication().setFrozen(mServer.index(), frozen);
+                    return true;
+                });
+        releaseParked();
+    }
+
+    /** Makes the next statements and commits take effect and be answered by closing. */
+    void loseAnswers(int count) {
+        mAnswersToLose.set(count);
+    }
+
+    boolean takeLostAnswer() {
+        return mAnswersToLose.getAndUpdate(n -> Math.max(0, n - 1)) > 0;
     }
 
     /** Waits while the process of the server is frozen. */
@@ -86,16 +110,41 @@
         mGroup.await(() -> !mGroup.replication().isFrozen(mServer.index()), Long.MAX_VALUE);
     }
 
+    /** Waits with an answer while the server is frozen or the caller is cut off. */
+    void awaitReachable(InetAddress source) throws InterruptedException {
+        mGroup.await(() -> isReachableLocked(source), Long.MAX_VALUE);
+    }
+
     /**
-     * Waits while the server is frozen or the caller is cut off; bytes on the way arrive after
-     * that, as they do over TCP.
+     * Returns whether a request reaches the server now.
+     *
+     * <p>A request that does not is kept and handled after the thaw or heal, as bytes that TCP
+     * delivers late. It occupies no thread, because probes go on while a server is frozen.
      */
-    void awaitReachable(InetAddress source) throws InterruptedException {
-        mGroup.await(
-                () ->
-                        !mGroup.replication().isFrozen(mServer.index())
-                                && !mCutSources.contains(source),
-                Long.MAX_VALUE);
+    boolean reachesOrIsParked(InetAddress source, Runnable continuation) {
+        return mGroup.read(
+                () -> {
+                    boolean isReachable = isReachableLocked(source);
+                    if (!isReachable) {
+                        mParked.add(continuation);
+                    }
+                    return isReachable;
+                });
+    }
+
+    private boolean isReachableLocked(InetAddress source) {
+        return !mGroup.replication().isFrozen(mServer.index()) && !mCutSources.contains(source);
+    }
+
+    private void releaseParked() {
+        List<Runnable> parked =
+                mGroup.read(
+                        () -> {
+                            List<Runnable> all = List.copyOf(mParked);
+                            mParked.clear();
+                            return all;
+                        });
+        parked.forEach(Runnable::run);
     }
 
     boolean isStopped() {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/ServerHandler.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/group/ServerHandler.java
@@ -5,6 +5,7 @@
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -46,23 +47,35 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
         if (exchange.isInIoThread()) {
-            exchange.dispatch(this);
+            // Undertow has left the call when the task runs, so the request may go on elsewhere.
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange));
             return;
         }
-        mContext.awaitReachable(Exchanges.source(exchange));
         String number = exchange.getRequestHeaders().getFirst(REQUEST_NUMBER);
         if (number != null) {
             exchange.getResponseHeaders().put(REQUEST_NUMBER, number);
         }
         Answer answer = answerTo(exchange, number != null);
         mContext.awaitReachable(Exchanges.source(exchange));
-        if (mContext.isStopped()) {
+        boolean isLost = answer.body() instanceof GroupAnswers.Result && takesLostAnswer(exchange);
+        if (mContext.isStopped() || isLost) {
             Exchanges.drop(exchange);
             return;
         }
         Exchanges.answer(exchange, answer.status(), answer.body());
     }
 
+    private void begin(HttpServerExchange exchange) {
+        if (mContext.reachesOrIsParked(Exchanges.source(exchange), () -> begin(exchange))) {
+            exchange.dispatch(this);
+        }
+    }
+
+    private boolean takesLostAnswer(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        return (path.equals("/statement") || path.equals("/commit")) && mContext.takeLostAnswer();
+    }
+
     private Answer answerTo(HttpServerExchange exchange, boolean isNumbered) throws Exception {
         Optional<Connection> connection = connection(exchange);
         if (connection.isEmpty()) {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/ObjectTable.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/ObjectTable.java
@@ -1,14 +1,13 @@
 package org.plantainferry.verification.standin.store;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.plantainferry.network.store.StoreListing;
-import org.plantainferry.network.store.StoreObject;
+import org.plantainferry.verification.standin.store.StoreMessages.Listing;
+import org.plantainferry.verification.standin.store.StoreMessages.StoredObject;
 
 /**
  * Holds the objects of the store with their versions.
@@ -18,45 +17,37 @@
  * without a value so that a watch can report them. Callers synchronize.
  */
 final class ObjectTable {
-    private final Map<String, StoreObject> mObjects = new TreeMap<>();
+    private final Map<String, StoredObject> mObjects = new TreeMap<>();
     private long mRevision;
 
-    long revision() {
-        return mRevision;
-    }
-
-    Optional<StoreObject> get(String path) {
+    Optional<StoredObject> get(String path) {
         return Optional.ofNullable(mObjects.get(path)).filter(o -> o.value().isPresent());
     }
 
-    StoreObject change(String path, Optional<String> value) {
+    StoredObject change(String path, Optional<String> value) {
         mRevision++;
-        StoreObject object = new StoreObject(path, mRevision, value);
+        StoredObject object = new StoredObject(path, mRevision, value);
         mObjects.put(path, object);
         return object;
     }
 
-    StoreListing list(String prefix) {
+    Listing list(String prefix) {
         return listing(prefix, o -> o.value().isPresent());
     }
 
     /** Lists what changed after a revision; a revision from the future counts as 0. */
-    StoreListing changedAfter(String prefix, long after) {
+    Listing changedAfter(String prefix, long after) {
         long from = after > mRevision ? 0 : after;
         return listing(prefix, o -> o.version() > from);
     }
 
-    Collection<StoreObject> all() {
-        return List.copyOf(mObjects.values());
-    }
-
-    private StoreListing listing(String prefix, Predicate<StoreObject> condition) {
-        List<StoreObject> found = new ArrayList<>();
-        for (StoreObject object : mObjects.values()) {
+    private Listing listing(String prefix, Predicate<StoredObject> condition) {
+        List<StoredObject> found = new ArrayList<>();
+        for (StoredObject object : mObjects.values()) {
             if (object.path().startsWith(prefix) && condition.test(object)) {
                 found.add(object);
             }
         }
-        return new StoreListing(mRevision, found);
+        return new Listing(mRevision, found);
     }
 }
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/StoreHandler.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/StoreHandler.java
@@ -4,22 +4,18 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.util.List;
 import java.util.Optional;
-import org.plantainferry.network.store.InstanceRecord;
-import org.plantainferry.network.store.StoreListing;
-import org.plantainferry.network.store.StoreObject;
 import org.plantainferry.verification.standin.Exchanges;
+import org.plantainferry.verification.standin.store.StoreMessages.Instances;
+import org.plantainferry.verification.standin.store.StoreMessages.Listing;
+import org.plantainferry.verification.standin.store.StoreMessages.StoredObject;
+import org.plantainferry.verification.standin.store.StoreMessages.Version;
 
 /** Serves the protocol of the store (section 13.3 of the design page). */
 final class StoreHandler implements HttpHandler {
     private static final int MAX_VALUE_BYTES = 1024 * 1024;
     private static final String OBJECTS = "/objects/";
 
-    private record Instances(List<InstanceRecord> instances) {}
-
-    private record Version(long version) {}
-
     private final StoreStandIn mStore;
     private final StoreControl mControl;
 
@@ -58,7 +54,7 @@
         } else if (path.startsWith(OBJECTS)) {
             handleObject(exchange, path.substring(OBJECTS.length()));
         } else if (path.equals("/list")) {
-            StoreListing listing;
+            Listing listing;
             synchronized (mStore.table()) {
                 listing = mStore.table().list(Exchanges.parameter(exchange, "prefix").orElse(""));
             }
@@ -76,7 +72,7 @@
         String method = exchange.getRequestMethod().toString();
         switch (method) {
             case "GET":
-                Optional<StoreObject> object;
+                Optional<StoredObject> object;
                 synchronized (mStore.table()) {
                     object = mStore.table().get(path);
                 }
@@ -107,10 +103,10 @@
 
     private void change(HttpServerExchange exchange, String path, Optional<String> value)
             throws Exception {
-        Optional<StoreObject> changed = Optional.empty();
+        Optional<StoredObject> changed = Optional.empty();
         boolean isAbsent;
         synchronized (mStore.table()) {
-            Optional<StoreObject> present = mStore.table().get(path);
+            Optional<StoredObject> present = mStore.table().get(path);
             isAbsent = value.isEmpty() && present.isEmpty();
             if (!isAbsent && isConditionMet(exchange, present)) {
                 changed = Optional.of(mStore.table().change(path, value));
@@ -130,7 +126,7 @@
     }
 
     private static boolean isConditionMet(
-            HttpServerExchange exchange, Optional<StoreObject> present) {
+            HttpServerExchange exchange, Optional<StoredObject> present) {
         String match = exchange.getRequestHeaders().getFirst(Headers.IF_MATCH);
         String noneMatch = exchange.getRequestHeaders().getFirst(Headers.IF_NONE_MATCH);
         if (noneMatch != null && !noneMatch.equals("*")) {
@@ -154,7 +150,7 @@
 
     private void beginWatch(
             HttpServerExchange exchange, String prefix, long after, long waitMillis) {
-        StoreListing listing;
+        Listing listing;
         synchronized (mStore.table()) {
             listing = mStore.table().changedAfter(prefix, after);
             if (listing.objects().isEmpty()) {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/StoreStandIn.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/StoreStandIn.java
@@ -24,7 +24,7 @@
  * @since 0.1
  */
 public final class StoreStandIn implements AutoCloseable {
-    private static final int TASK_THREADS = 200;
+    private static final int TASK_THREADS = 400;
 
     private final XnioWorker mWorker = HttpEndpoint.createWorker(TASK_THREADS);
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/Watches.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/store/Watches.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import org.plantainferry.network.store.StoreListing;
-import org.plantainferry.network.store.StoreObject;
 import org.plantainferry.verification.standin.Exchanges;
+import org.plantainferry.verification.standin.store.StoreMessages.Listing;
+import org.plantainferry.verification.standin.store.StoreMessages.StoredObject;
 
 /** Holds the watches that wait for a change; none of them occupies a thread. */
 final class Watches {
@@ -32,7 +32,7 @@
         mTimer.schedule(
                 () -> {
                     if (remove(watch)) {
-                        Exchanges.answer(exchange, 200, new StoreListing(revision, List.of()));
+                        Exchanges.answer(exchange, 200, new Listing(revision, List.of()));
                     }
                 },
                 waitMillis,
@@ -40,8 +40,8 @@
     }
 
     /** Answers the watches that a change concerns. */
-    void changed(StoreObject object) {
-        StoreListing listing = new StoreListing(object.version(), List.of(object));
+    void changed(StoredObject object) {
+        Listing listing = new Listing(object.version(), List.of(object));
         for (Watch watch : take(w -> object.path().startsWith(w.prefix()))) {
             mTimer.execute(() -> Exchanges.answer(watch.exchange(), 200, listing));
         }
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/standin/group/GroupStandInTest.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/standin/group/GroupStandInTest.java
@@ -216,6 +216,46 @@
         }
     }
 
+    /** Guards against a lost answer that takes the write with it. */
+    @Test
+    public void keepsWriteWhoseAnswerIsLost() throws IOException {
+        mGroup.loseAnswers("s1", 1);
+        String add = String.format(ADD, 1, "r1");
+        assertThrows(IOException.class, () -> post("s1", "/statement", add));
+        assertEquals(mGroup.log("s1").size(), 1);
+        assertEquals(post("s1", "/statement", add).json().get("result").asText(), "1");
+    }
+
+    /** Guards against a promotion of the wrong server that loses confirmed writes unnoticed. */
+    @Test
+    public void reportsPromotionThatLosesConfirmedWrites() throws Exception {
+        mGroup.setCut("s1", "s3", true);
+        post("s1", "/statement", String.format(ADD, 1, "r1"));
+        TimeUnit.MILLISECONDS.sleep(100);
+        changePrimary(2, "s3", "s2");
+        TimeUnit.MILLISECONDS.sleep(200);
+        assertEquals(mGroup.failure(), Optional.of("s2 would lose confirmed entries after 0"));
+    }
+
+    /** Guards against probes of a frozen server that use up the threads of the other servers. */
+    @Test
+    public void servesOtherServersWhileManyRequestsHang() throws Exception {
+        mGroup.setFrozen("s2", true);
+        List<HttpProbe> hanging = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            HttpProbe probe = new HttpProbe(mGroup.address("s2"), "127.0.0.1", 1);
+            hanging.add(probe);
+            assertThrows(SocketTimeoutException.class, () -> probe.get("/state"));
+        }
+        assertEquals(post("s1", "/statement", String.format(ADD, 1, "r1")).status(), 200);
+        mGroup.setFrozen("s2", false);
+        for (HttpProbe probe : hanging) {
+            probe.close();
+        }
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertEquals(probe("s2").get("/state").status(), 200);
+    }
+
     /** Guards against faults that a test orders and that do not happen. */
     @Test
     public void holdsAnswersWhileFrozenAndClosesConnectionsWhenStopped() throws Exception {
--- /dev/null
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/standin/store/StoreStandInTest.java
@@ -0,0 +1,175 @@
+package org.plantainferry.verification.standin.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.verification.standin.HttpProbe;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Checks the protocol of the store over TCP. */
+public final class StoreStandInTest {
+    private static final String CURRENT = "/objects/configuration/current";
+    private static final String ABSENT = "If-None-Match: *\r\n";
+    private static final String RECORD =
+            "{\"id\":\"i1\",\"failureDomain\":\"como-a\",\"peerAddress\":\"127.0.1.1:1\","
+                    + "\"callerAddress\":\"127.0.1.1:2\",\"operatorAddress\":\"127.0.1.1:3\","
+                    + "\"state\":\"live\"}";
+
+    private StoreStandIn mStore;
+
+    @BeforeMethod
+    public void startStore() {
+        mStore = new StoreStandIn(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    @AfterMethod
+    public void stopStore() {
+        mStore.close();
+    }
+
+    /** Guards against two writers who both believe that their conditional update won. */
+    @Test
+    public void changesObjectOnlyWhenTheConditionHolds() throws IOException {
+        assertEquals(call("GET", CURRENT, "", "").status(), 404);
+        assertEquals(call("PUT", CURRENT, "If-Match: \"1\"\r\n", "x").status(), 412);
+        assertEquals(call("PUT", CURRENT, ABSENT, "a").headers().get("etag"), "\"1\"");
+        assertEquals(call("PUT", CURRENT, ABSENT, "b").status(), 412);
+        assertEquals(call("PUT", CURRENT, "If-Match: \"1\"\r\n", "b").status(), 200);
+        assertEquals(call("PUT", CURRENT, "If-Match: \"1\"\r\n", "c").status(), 412);
+        assertEquals(call("GET", CURRENT, "", "").body(), "b");
+        assertEquals(call("DELETE", CURRENT, "If-Match: \"1\"\r\n", "").status(), 412);
+        assertEquals(call("DELETE", CURRENT, "If-Match: \"2\"\r\n", "").status(), 200);
+        assertEquals(call("DELETE", CURRENT, "", "").status(), 404);
+        HttpProbe.Answer created = call("PUT", CURRENT, ABSENT, "a");
+        assertEquals(created.headers().get("etag"), "\"4\"", "a version is never used twice");
+    }
+
+    /** Guards against a lost answer that takes the change with it. */
+    @Test
+    public void keepsChangeWhoseAnswerIsLost() throws IOException {
+        mStore.loseAnswers(1);
+        assertThrows(IOException.class, () -> call("PUT", CURRENT, ABSENT, "a"));
+        assertEquals(call("GET", CURRENT, "", "").body(), "a");
+        assertEquals(call("PUT", CURRENT, "If-Match: \"1\"\r\n", "b").status(), 200);
+    }
+
+    /** Guards against watches that miss a change or answer one of another prefix. */
+    @Test
+    public void answersWatchWhenAnObjectWithThePrefixChanges() throws Exception {
+        CompletableFuture<HttpProbe.Answer> watch =
+                CompletableFuture.supplyAsync(() -> watch("prefix=slots/&after=0&waitMillis=5000"));
+        awaitWatch();
+        call("PUT", CURRENT, "", "a");
+        TimeUnit.MILLISECONDS.sleep(100);
+        assertEquals(watch.isDone(), false);
+        call("PUT", "/objects/slots/como-a", "", "s");
+        String expected =
+                "{\"revision\":2,\"objects\":"
+                        + "[{\"path\":\"slots/como-a\",\"version\":2,\"value\":\"s\"}]}";
+        assertEquals(watch.get(1, TimeUnit.SECONDS).body(), expected);
+        call("DELETE", "/objects/slots/como-a", "", "");
+        assertEquals(
+                watch("prefix=slots/&after=2&waitMillis=5000").body(),
+                expected.replace("n\":2", "n\":3").replace("\"s\"", "null"));
+        HttpProbe.Answer empty = watch("prefix=slots/&after=3&waitMillis=50");
+        assertEquals(empty.body(), "{\"revision\":3,\"objects\":[]}");
+        HttpProbe.Answer list = call("GET", "/list?prefix=", "", "");
+        assertEquals(list.json().get("objects").size(), 1, "a removed object is not listed");
+    }
+
+    /** Guards against calls or watches that get through during an outage. */
+    @Test
+    public void refusesCallsAndWatchesInOutage() throws Exception {
+        CompletableFuture<HttpProbe.Answer> watch =
+                CompletableFuture.supplyAsync(() -> watch("prefix=&after=0&waitMillis=5000"));
+        awaitWatch();
+        mStore.setOutage(true);
+        assertEquals(watch.get(1, TimeUnit.SECONDS).status(), 503);
+        assertEquals(call("PUT", CURRENT, ABSENT, "a").status(), 503);
+        assertEquals(call("GET", "/instances", "", "").status(), 503);
+        mStore.setOutage(false);
+        assertEquals(call("GET", CURRENT, "", "").status(), 404);
+    }
+
+    /** Guards against a cut that lets a source through or hits another one. */
+    @Test
+    public void closesConnectionsOfCutSource() throws IOException {
+        try (HttpProbe probe = new HttpProbe(mStore.address(), "127.0.0.66", 1_000)) {
+            assertEquals(probe.get("/list?prefix=").status(), 200);
+            mStore.cut("127.0.0.66");
+            assertThrows(IOException.class, () -> probe.get("/list?prefix="));
+        }
+        try (HttpProbe probe = new HttpProbe(mStore.address(), "127.0.0.66", 1_000)) {
+            assertThrows(IOException.class, () -> probe.get("/list?prefix="));
+        }
+        assertEquals(call("GET", "/list?prefix=", "", "").status(), 200);
+        mStore.heal("127.0.0.66");
+        try (HttpProbe probe = new HttpProbe(mStore.address(), "127.0.0.66", 1_000)) {
+            assertEquals(probe.get("/list?prefix=").status(), 200);
+        }
+    }
+
+    /** Guards against values above 1 MB and against a limit below it. */
+    @Test
+    public void refusesValuesOverOneMegabyte() throws IOException {
+        String largest = "v".repeat(1024 * 1024);
+        assertEquals(call("PUT", CURRENT, "", largest).status(), 200);
+        assertEquals(call("GET", CURRENT, "", "").body().length(), largest.length());
+        assertEquals(call("PUT", CURRENT, "", largest + "v").status(), 413);
+    }
+
+    /** Guards against a list that shows changes at once, unlike the platform's. */
+    @Test
+    public void showsInstancesAfterTheLag() throws Exception {
+        mStore.setListLagMillis(300);
+        assertEquals(call("POST", "/control/put-instance", "", RECORD).status(), 200);
+        assertEquals(call("GET", "/instances", "", "").body(), "{\"instances\":[]}");
+        TimeUnit.MILLISECONDS.sleep(400);
+        assertEquals(call("GET", "/instances", "", "").body(), "{\"instances\":[" + RECORD + "]}");
+        call("POST", "/control/delete-instance?id=i1", "", "");
+        assertEquals(call("GET", "/instances", "", "").body(), "{\"instances\":[" + RECORD + "]}");
+    }
+
+    /** Guards against latency or counts that tests rely on and that are not there. */
+    @Test
+    public void addsLatencyAndCountsCalls() throws IOException {
+        assertEquals(call("POST", "/control/latency?millis=100", "", "").status(), 200);
+        long start = System.nanoTime();
+        call("PUT", CURRENT, "", "a");
+        assertTrue(System.nanoTime() - start >= 100_000_000);
+        call("GET", CURRENT, "", "");
+        watch("prefix=&after=0&waitMillis=1");
+        HttpProbe.Answer counts = call("GET", "/control/counts", "", "");
+        assertTrue(
+                counts.body().startsWith("{\"reads\":1,\"writes\":1,\"watches\":1,"),
+                counts.body());
+    }
+
+    private void awaitWatch() throws InterruptedException {
+        while (mStore.waitingWatches() == 0) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private HttpProbe.Answer watch(String query) {
+        try {
+            return call("GET", "/watch?" + query, "", "");
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private HttpProbe.Answer call(String method, String path, String headers, String body)
+            throws IOException {
+        try (HttpProbe probe = new HttpProbe(mStore.address())) {
+            return probe.call(method, path, headers, body);
+        }
+    }
+}
