Run an instance end to end; fix the refusal after an idle time

Cause: the answer to each periodic share request of an idle instance grants nothing and was taken for a fruitless ask, so callers in the backoff of up to 320 ms that followed were refused although the workspace was inside its rate. Change: only the answer to a request that asked ends the ask.

--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
@@ -0,0 +1,262 @@
+package org.plantainferry.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.session.SessionTokenCodec;
+import org.plantainferry.daemon.control.ControlContext;
+import org.plantainferry.daemon.control.ControlLoop;
+import org.plantainferry.daemon.control.ControlPlane;
+import org.plantainferry.daemon.control.ControlPlaneFactory;
+import org.plantainferry.daemon.control.PeerDispatcher;
+import org.plantainferry.daemon.control.ProbeConnections;
+import org.plantainferry.daemon.control.StatusWriter;
+import org.plantainferry.daemon.http.CallerServer;
+import org.plantainferry.daemon.http.OperatorServer;
+import org.plantainferry.daemon.log.LogEvent;
+import org.plantainferry.daemon.metrics.RequestMetrics;
+import org.plantainferry.daemon.settings.DaemonSettings;
+import org.plantainferry.daemon.settings.SessionSecrets;
+import org.plantainferry.daemon.settings.TlsContexts;
+import org.plantainferry.daemon.traffic.CallerAuthority;
+import org.plantainferry.daemon.traffic.LaneDirectory;
+import org.plantainferry.daemon.traffic.PeerForwarder;
+import org.plantainferry.daemon.traffic.SnapshotAuthority;
+import org.plantainferry.daemon.traffic.TrafficDirector;
+import org.plantainferry.daemon.traffic.TrafficSnapshot;
+import org.plantainferry.engine.drain.DrainCause;
+import org.plantainferry.engine.drain.DrainPhase;
+import org.plantainferry.engine.routing.ReadPolicy;
+import org.plantainferry.engine.routing.ReadRouter;
+import org.plantainferry.engine.routing.RoundRobinReadRouter;
+import org.plantainferry.network.peer.NettyPeerTransport;
+import org.plantainferry.network.peer.PeerSettings;
+import org.plantainferry.network.peer.PeerTransport;
+import org.plantainferry.network.store.HttpPlatformStore;
+import org.plantainferry.network.store.PlatformStore;
+import org.plantainferry.network.store.StoreTimeouts;
+import org.plantainferry.network.target.NettyTargetConnector;
+import org.plantainferry.network.target.TargetConnector;
+
+/**
+ * Assembles and runs one instance.
+ *
+ * @since 0.1
+ */
+public final class InstanceDaemon implements AutoCloseable {
+    private static final int DRAIN_POLL_MILLIS = 20;
+    private static final long LAST_ANSWERS_MILLIS = 5_000;
+    private static final long GROUP_CLOSE_MILLIS = 1_000;
+
+    private final DaemonSettings mSettings;
+    private final EventLoopGroup mGroup;
+    private final ControlLoop mLoop;
+    private final PlatformStore mStore;
+    private final TargetConnector mTargets;
+    private final PeerTransport mPeers;
+    private final ControlPlane mControl;
+    private final RequestMetrics mMetrics;
+    private final CallerServer mCallers;
+    private final OperatorServer mOperators;
+
+    /**
+     * Opens the peer listener and builds everything else; {@link #start} begins to serve.
+     *
+     * @throws PlantainferryException with {@link ErrorCode#CONFIGURATION_INVALID} when a file of
+     *     the settings cannot be used
+     */
+    public InstanceDaemon(DaemonSettings settings) {
+        mSettings = settings;
+        LongSupplier clock = System::nanoTime;
+        SessionTokenCodec tokens = SessionSecrets.codec(settings.sessionSecretFiles());
+        Optional<TlsContexts> tls = settings.tls().map(TlsContexts::read);
+        Optional<InetAddress> local = Optional.of(localAddress(settings));
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        0, new DefaultThreadFactory("traffic", true), NioIoHandler.newFactory());
+        mLoop = new ControlLoop();
+        mStore =
+                new HttpPlatformStore(
+                        mGroup, settings.storeAddress(), local, StoreTimeouts.DEFAULT);
+        mTargets = new NettyTargetConnector(mGroup, local);
+        PeerDispatcher dispatcher = new PeerDispatcher();
+        mPeers = peers(settings, local, tls, dispatcher);
+        AtomicReference<TrafficSnapshot> snapshot =
+                new AtomicReference<>(TrafficSnapshot.initial(clock.getAsLong()));
+        CallerAuthority authority = new SnapshotAuthority(snapshot::get, clock);
+        ProbeConnections probes = new ProbeConnections(mTargets);
+        ControlPlaneFactory factory =
+                new ControlPlaneFactory(context(settings, clock), mPeers, probes, snapshot);
+        LaneDirectory lanes = lanes(settings, clock, authority, factory, probes, tokens);
+        mControl = factory.create(lanes);
+        PeerForwarder forwarder = new PeerForwarder(() -> mPeers, tokens, clock);
+        TrafficDirector director =
+                new TrafficDirector(
+                        settings.instance(),
+                        snapshot::get,
+                        lanes,
+                        mControl.rates(),
+                        forwarder,
+                        mGroup,
+                        clock);
+        factory.connect(dispatcher, message -> forwarder.onRequest(message, authority, director));
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        mMetrics = new RequestMetrics(registry);
+        mCallers = callers(settings, tls, authority, tokens, director, clock);
+        StatusWriter status = new StatusWriter(mControl);
+        mOperators =
+                new OperatorServer(
+                        settings.operatorListener(),
+                        () -> isReady(snapshot.get()),
+                        registry::scrape,
+                        status::write);
+    }
+
+    private CallerServer callers(
+            DaemonSettings settings,
+            Optional<TlsContexts> tls,
+            CallerAuthority authority,
+            SessionTokenCodec tokens,
+            TrafficDirector director,
+            LongSupplier clock) {
+        return new CallerServer(
+                settings.callerListener(),
+                tls.map(TlsContexts::callers),
+                settings.instance(),
+                authority,
+                tokens,
+                settings.defaultDeadlineMillis(),
+                director,
+                mMetrics,
+                clock);
+    }
+
+    private LaneDirectory lanes(
+            DaemonSettings settings,
+            LongSupplier clock,
+            CallerAuthority authority,
+            ControlPlaneFactory factory,
+            ProbeConnections probes,
+            SessionTokenCodec tokens) {
+        return new LaneDirectory(
+                settings.instance(),
+                mGroup,
+                mTargets,
+                InstanceDaemon::newRandom,
+                readPolicies(settings),
+                clock,
+                authority,
+                factory.events(),
+                probes,
+                tokens);
+    }
+
+    private PeerTransport peers(
+            DaemonSettings settings,
+            Optional<InetAddress> local,
+            Optional<TlsContexts> tls,
+            PeerDispatcher dispatcher) {
+        InetSocketAddress listen =
+                new InetSocketAddress(
+                        settings.peerListener().host(), settings.peerListener().port());
+        PeerSettings peerSettings =
+                new PeerSettings(
+                        listen,
+                        local,
+                        tls.map(TlsContexts::peers),
+                        PeerSettings.DEFAULT_MAXIMUM_PENDING);
+        return new NettyPeerTransport(mGroup, peerSettings, dispatcher);
+    }
+
+    private ControlContext context(DaemonSettings settings, LongSupplier clock) {
+        return new ControlContext(
+                settings,
+                System.currentTimeMillis(),
+                mLoop,
+                clock,
+                newRandom(),
+                mStore,
+                mTargets,
+                mGroup);
+    }
+
+    private static UniformRandomProvider newRandom() {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create();
+    }
+
+    private static Supplier<ReadPolicy> readPolicies(DaemonSettings settings) {
+        if (settings.policy() == DaemonSettings.Policy.SIMPLE) {
+            return RoundRobinReadRouter::new;
+        }
+        return () -> new ReadRouter(settings.failureDomain(), newRandom());
+    }
+
+    private static InetAddress localAddress(DaemonSettings settings) {
+        try {
+            return InetAddress.getByName(settings.localAddress());
+        } catch (UnknownHostException e) {
+            throw new PlantainferryException(
+                    ErrorCode.CONFIGURATION_INVALID, "localAddress is not an IP number", e);
+        }
+    }
+
+    private static boolean isReady(TrafficSnapshot snapshot) {
+        return snapshot.keys().version() > 0 && snapshot.drain().ready();
+    }
+
+    /** Opens the listeners and starts control. */
+    public void start() {
+        mControl.start();
+        mOperators.start();
+        mCallers.start();
+        LogEvent.STARTED.log(
+                mSettings.instance(), mSettings.failureDomain(), mSettings.callerListener());
+    }
+
+    /** Returns whether a drain order or a signal has ended the work of this instance. */
+    public boolean isDrained() {
+        mControl.onRequestsInProgress(mMetrics.inProgress());
+        return mControl.drainPhase() == DrainPhase.CLOSED;
+    }
+
+    /** Drains in answer to a signal, and returns when no work is left or the time is over. */
+    public void drain() throws InterruptedException {
+        mControl.drain(DrainCause.SIGNAL);
+        awaitDrained();
+    }
+
+    /** Waits until the work of this instance has ended, and writes the last answers. */
+    public void awaitDrained() throws InterruptedException {
+        while (!isDrained()) {
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+        }
+        mCallers.drain(LAST_ANSWERS_MILLIS);
+        LogEvent.DRAIN_ENDED.log(mMetrics.inProgress());
+    }
+
+    @Override
+    public void close() {
+        mCallers.close();
+        mOperators.close();
+        mLoop.close();
+        mPeers.close();
+        mStore.close();
+        mGroup.shutdownGracefully(0, GROUP_CLOSE_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(GROUP_CLOSE_MILLIS);
+    }
+}
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
@@ -71,6 +71,7 @@
     private long mGatewayConfiguration = -1;
     private Freshness mFreshness = Freshness.ISOLATED;
     private long mPublishedNanos;
+    private final Map<InstanceId, Long> mPeerVersions = new HashMap<>();
     private volatile int mRequestsInProgress;
 
     /** Creates the control of an instance; {@link #start} begins its work. */
@@ -165,6 +166,7 @@
         if (isCurrent) {
             return;
         }
+        mPeerVersions.keySet().removeIf(id -> members.member(id).isEmpty());
         mGatewayMembership = members.version();
         mGatewayConfiguration = mFleet.configuration().version();
         int live = members.members().size();
@@ -176,8 +178,7 @@
                         mFleet.hash().rankAcrossDomains(service.name().value(), GATEWAYS));
             }
             boolean uses =
-                    live <= GATEWAYS
-                            || gateways.get(service.name()).contains(mFleet.self().id());
+                    live <= GATEWAYS || gateways.get(service.name()).contains(mFleet.self().id());
             if (uses) {
                 mLanes.configure(
                         service,
@@ -223,8 +224,7 @@
 
     /** Handles a heartbeat. */
     CompletableFuture<PeerMessage> onHeartbeat(Heartbeat heartbeat) {
-        return onLoop(
-                "heartbeat", () -> mHeartbeats.onHeartbeat(PeerMessages.read(heartbeat)));
+        return onLoop("heartbeat", () -> mHeartbeats.onHeartbeat(PeerMessages.read(heartbeat)));
     }
 
     /** Handles a share request. */
@@ -270,8 +270,7 @@
                                 .build());
     }
 
-    private CompletableFuture<PeerMessage> onLoop(
-            String name, Supplier<PeerMessage> question) {
+    private CompletableFuture<PeerMessage> onLoop(String name, Supplier<PeerMessage> question) {
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
         mContext.loop()
                 .run(
@@ -298,14 +297,27 @@
     }
 
     private StatusReport collectStatus() {
+        long now = mContext.now();
+        Map<InstanceId, PeerKnowledge> peers = new HashMap<>();
+        for (Member member : mFleet.membership().snapshot().members()) {
+            Optional<Long> silence =
+                    mFleet.membership()
+                            .silenceNanos(member.id(), now)
+                            .map(TimeUnit.NANOSECONDS::toMillis);
+            long version = mPeerVersions.getOrDefault(member.id(), 0L);
+            peers.put(member.id(), new PeerKnowledge(version, silence));
+        }
+        long own = mFleet.configuration().version();
+        peers.put(mFleet.self().id(), new PeerKnowledge(own, Optional.of(0L)));
         return new StatusReport(
                 mFleet.self(),
                 mFleet.drain().phase(),
                 mFleet.configuration(),
                 mFreshness,
                 List.copyOf(mFleet.membership().snapshot().members()),
+                peers,
                 mGuardians.status(),
-                mContext.now());
+                now);
     }
 
     /** Holds what the status page shows. */
@@ -315,9 +327,15 @@
             Configuration configuration,
             Freshness freshness,
             List<Member> members,
+            Map<InstanceId, PeerKnowledge> peers,
             List<GuardianController.GroupStatus> groups,
             long nowNanos) {}
 
+    /** Holds what is known of a peer besides its membership. */
+    record PeerKnowledge(long configurationVersion, Optional<Long> silenceMillis) {
+        static final PeerKnowledge NONE = new PeerKnowledge(0, Optional.empty());
+    }
+
     /** Takes in what the store holds. */
     private final class StoreEvents implements StoreController.Listener {
         @Override
@@ -363,13 +381,15 @@
     private final class PeerEvents implements HeartbeatController.Listener {
         @Override
         public void onHeartbeat(HeartbeatView heartbeat) {
+            mPeerVersions.put(heartbeat.instance(), heartbeat.status().configurationVersion());
             if (heartbeat.failureDomain().equals(mFleet.self().failureDomain())) {
                 mLimits.onContact();
             }
             heartbeat
                     .status()
                     .groupTerms()
-                    .forEach(each -> mGuardians.onTerm(each.service(), each.term(), each.primary()));
+                    .forEach(
+                            each -> mGuardians.onTerm(each.service(), each.term(), each.primary()));
         }
 
         @Override
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.ServerId;
 import org.plantainferry.api.ServiceName;
@@ -58,6 +60,7 @@
         private final GroupGuardian mGuardian;
         private final Service mService;
         private final Map<ServerId, ServerObservation> mObserved = new HashMap<>();
+        private final Set<ServerId> mSilent = new HashSet<>();
         private long mChangedNanos;
         private long mTerm;
         private Optional<ServerId> mPrimary = Optional.empty();
@@ -66,6 +69,10 @@
             mGuardian = guardian;
             mService = service;
         }
+
+        boolean answers(ServerObservation observation) {
+            return !mSilent.contains(observation.server());
+        }
     }
 
     GuardianController(
@@ -98,8 +105,7 @@
             }
             List<ServerId> servers = service.servers().stream().map(TargetServer::id).toList();
             GroupGuardian guardian =
-                    new GroupGuardian(
-                            mFleet.self().id(), proposer, servers, mContext.now());
+                    new GroupGuardian(mFleet.self().id(), proposer, servers, mContext.now());
             mWatched.put(service.name(), new Watched(guardian, service));
         }
         mMembershipVersion = -1;
@@ -164,6 +170,7 @@
             long sent) {
         long now = mContext.now();
         if (state == null || !state.server().equals(server)) {
+            watched.mSilent.add(server);
             watched.mGuardian.onProbeFailure(server, now);
             return;
         }
@@ -185,6 +192,7 @@
                         state.lagMillis().orElse(0L),
                         state.leaving());
         watched.mObserved.put(server, observation);
+        watched.mSilent.remove(server);
         mLanes.observe(watched.mService.name(), observation);
         carryOut(watched, watched.mGuardian.onProbeAnswer(seen, sent, now));
     }
@@ -246,7 +254,8 @@
                         TargetProtocol::readFence)
                 .whenComplete(
                         (result, failure) ->
-                                mContext.loop().run("fence", () -> onFence(watched, fence, result)));
+                                mContext.loop()
+                                        .run("fence", () -> onFence(watched, fence, result)));
     }
 
     private void onFence(Watched watched, GuardianAction.Fence fence, FenceResult result) {
@@ -257,8 +266,7 @@
                 result.granted()
                         ? new FenceAnswer.Granted(
                                 new LogPosition(
-                                        result.lastTerm().orElse(0L),
-                                        result.position().orElse(0L)))
+                                        result.lastTerm().orElse(0L), result.position().orElse(0L)))
                         : new FenceAnswer.Refused(result.term().orElse(fence.term()));
         carryOut(
                 watched,
@@ -358,8 +366,7 @@
         for (Watched watched : mWatched.values()) {
             boolean isRecent = watched.mTerm > 0 && now - watched.mChangedNanos < RECENT_NANOS;
             if (isRecent && recent.size() < RECENT_LIMIT) {
-                recent.add(
-                        new GroupTerm(watched.mService.name(), watched.mTerm, watched.mPrimary));
+                recent.add(new GroupTerm(watched.mService.name(), watched.mTerm, watched.mPrimary));
             }
         }
         return recent;
@@ -367,10 +374,10 @@
 
     /** Describes what is known of a group, for the status. */
     record GroupStatus(
-            ServiceName service,
-            long term,
-            Optional<ServerId> primary,
-            List<ServerObservation> servers) {}
+            ServiceName service, long term, Optional<ServerId> primary, List<ServerSeen> servers) {}
+
+    /** Joins what a server said last with whether it answered its last probe. */
+    record ServerSeen(ServerObservation observation, boolean reachable) {}
 
     List<GroupStatus> status() {
         List<GroupStatus> all = new ArrayList<>();
@@ -380,7 +387,9 @@
                             watched.mService.name(),
                             watched.mTerm,
                             watched.mPrimary,
-                            List.copyOf(watched.mObserved.values())));
+                            watched.mObserved.values().stream()
+                                    .map(each -> new ServerSeen(each, watched.answers(each)))
+                                    .toList()));
         }
         return all;
     }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/HeartbeatController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/HeartbeatController.java
@@ -77,14 +77,18 @@
                                 mContext.loop()
                                         .run(
                                                 "heartbeat answer",
-                                                () -> onAnswer(target.peer(), answer, failure, now)));
+                                                () ->
+                                                        onAnswer(
+                                                                target.peer(),
+                                                                answer,
+                                                                failure,
+                                                                now)));
     }
 
     private PeerMessage message(boolean answerWanted, long now) {
         HeartbeatView view =
                 mFleet.membership()
-                        .heartbeat(
-                                mFleet.freshness().status(mTerms.get(), now), answerWanted, now);
+                        .heartbeat(mFleet.freshness().status(mTerms.get(), now), answerWanted, now);
         return PeerMessage.newBuilder().setHeartbeat(PeerMessages.write(view)).build();
     }
 
@@ -97,7 +101,8 @@
         long now = mContext.now();
         mFleet.membership().onHeartbeat(view, now);
         mFleet.freshness().onHeartbeatAnswer(view, sentNanos, now);
-        mFleet.configurations().onPeerVersion(view.instance(), view.status().configurationVersion());
+        mFleet.configurations()
+                .onPeerVersion(view.instance(), view.status().configurationVersion());
         mListener.onHeartbeat(view);
     }
 
@@ -106,7 +111,8 @@
         long now = mContext.now();
         mFleet.membership().onHeartbeat(view, now);
         mFleet.freshness().onHeartbeat(view, now);
-        mFleet.configurations().onPeerVersion(view.instance(), view.status().configurationVersion());
+        mFleet.configurations()
+                .onPeerVersion(view.instance(), view.status().configurationVersion());
         mListener.onHeartbeat(view);
         return message(false, now);
     }
@@ -125,8 +131,7 @@
         PeerMessage request =
                 PeerMessage.newBuilder()
                         .setConfigurationRequest(
-                                ConfigurationRequest.newBuilder()
-                                        .setNewerThan(fetch.newerThan()))
+                                ConfigurationRequest.newBuilder().setNewerThan(fetch.newerThan()))
                         .build();
         Consumer<PeerMessage> onAnswer = answer -> onConfiguration(fetch, answer);
         mPeers.call(address.get(0), request, FETCH_TIMEOUT_MILLIS)
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
@@ -144,7 +144,8 @@
                     .put(mSlotPath, write.table().toJson(), condition)
                     .whenComplete(
                             (version, failure) ->
-                                    mContext.loop().run("slots", () -> onWritten(version, failure)));
+                                    mContext.loop()
+                                            .run("slots", () -> onWritten(version, failure)));
             return;
         }
         mContext.store()
@@ -169,8 +170,7 @@
             return;
         }
         try {
-            Optional<SlotTable> table =
-                    object.flatMap(StoreObject::value).map(SlotTable::fromJson);
+            Optional<SlotTable> table = object.flatMap(StoreObject::value).map(SlotTable::fromJson);
             mClaims.read(now, table, object.map(StoreObject::version).orElse(0L));
             mGuard.slotsRead(now, sentNanos);
         } catch (PlantainferryException e) {
@@ -191,8 +191,7 @@
 
     private void send(SendShareRequest send) {
         if (send.allocator().equals(mFleet.self().id())) {
-            reply(send.request())
-                    .ifPresent(answer -> onAnswer(send.allocator(), answer));
+            reply(send.request()).ifPresent(answer -> onAnswer(send.allocator(), answer));
             return;
         }
         Optional<String> address = mFleet.membership().peerAddress(send.allocator());
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ProbeConnections.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ProbeConnections.java
@@ -80,8 +80,7 @@
     }
 
     private synchronized void give(String address, TargetConnection connection) {
-        Deque<TargetConnection> idle =
-                mIdle.computeIfAbsent(address, key -> new ArrayDeque<>());
+        Deque<TargetConnection> idle = mIdle.computeIfAbsent(address, key -> new ArrayDeque<>());
         if (!connection.isOpen() || idle.size() >= IDLE_LIMIT) {
             connection.close();
             return;
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/StoreController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/StoreController.java
@@ -65,7 +65,9 @@
                 .whenComplete(
                         (listing, failure) ->
                                 mContext.loop()
-                                        .run("list", () -> onListing(listing, failure, sent, true)));
+                                        .run(
+                                                "list",
+                                                () -> onListing(listing, failure, sent, true)));
     }
 
     private void watch() {
@@ -98,8 +100,7 @@
         long confirmed =
                 isEmptyWatch ? sentNanos + TimeUnit.MILLISECONDS.toNanos(WATCH_MILLIS) : sentNanos;
         long now = mContext.now();
-        mFleet.freshness()
-                .onStoreAnswer(mStoreVersion, confirmed - now < 0 ? confirmed : now, now);
+        mFleet.freshness().onStoreAnswer(mStoreVersion, confirmed - now < 0 ? confirmed : now, now);
         watch();
     }
 
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PeerForwarder.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PeerForwarder.java
@@ -55,8 +55,7 @@
         if (failure == null && answer.hasForwardAnswer()) {
             return ForwardCodec.read(answer.getForwardAnswer());
         }
-        Verdict sent =
-                failure == null ? Verdict.MAY_HAVE_RUN : StatementSender.verdictOf(failure);
+        Verdict sent = failure == null ? Verdict.MAY_HAVE_RUN : StatementSender.verdictOf(failure);
         return CallerAnswer.refusal(
                 new PlantainferryException(
                         ErrorCode.PEER_UNAVAILABLE,
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -22,6 +22,7 @@
     private boolean mLeaving;
     private long mLeavingAt;
     private double mTokensToReturn;
+    private boolean mAskSent;
 
     HeldShare(long nowNanos, WorkspaceName name) {
         mName = name;
@@ -96,13 +97,14 @@
         }
         double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
         mTokensToReturn = 0;
+        mAskSent = mBucket.isStarving();
         return new ShareRequest.Share(
                 mName,
                 depositedSlots,
                 depositedSlots > 0 || tokens > 0 ? tokens : 0,
                 mBucket.demandPerSecond(nowNanos),
                 mBucket.grantTokens(nowNanos),
-                mBucket.isStarving());
+                mAskSent);
     }
 
     /** Returns whether this instance needs the allocator for the workspace. */
@@ -124,7 +126,10 @@
                         grant.tokens(),
                         sentAt + grant.validNanos());
         boolean fruitful = mBucket.tokens(nowNanos) >= 1;
-        if (fruitful || !grant.moreSoon()) {
+        // The answer to a request that did not ask says nothing about an ask: an idle instance is
+        // granted nothing, and its next caller must still be able to ask at once.
+        if (mAskSent && (fruitful || !grant.moreSoon())) {
+            mAskSent = false;
             mBucket.endAsk(nowNanos, fruitful);
         }
         return mTokensToReturn >= 1;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -212,4 +212,10 @@
         advance(nowNanos);
         return mGrantCapacity > 0;
     }
+
+    /** Returns the rate of both parts that is in force now, in tokens a second. */
+    public synchronized double ratePerSecond(long nowNanos) {
+        advance(nowNanos);
+        return mPermanentRate + mGrantRate;
+    }
 }
