Add the command line of operators

A change of the configuration is one conditional update. After a lost answer the same update is repeated as long as the object still has the version it was conditional on, because the first one may yet arrive; once the version has moved, the note either shows among the applied ones or can never take effect. Only when that cannot be found out does the command end with code 4.

A repeated note is recognised by its identifier, its base version and, while it is the latest one, its effects; a new note with an old identifier is refused instead of being reported as already applied.

Key commands write their own notes against the version in force, so a race with an unrelated note needs no decision by the operator.

--- /dev/null
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/NoteSource.java
@@ -0,0 +1,28 @@
+package org.plantainferry.cli;
+
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.api.configuration.ReleaseNote;
+
+/** Provides the release note that a command applies. */
+interface NoteSource {
+    /** Returns the identifier of the note, the same for every version. */
+    String noteId();
+
+    /** Returns the note; one that the command writes itself is written against this version. */
+    ReleaseNote against(Configuration configuration);
+
+    /** Returns a note from a file, whatever version it was written against. */
+    static NoteSource fixed(ReleaseNote note) {
+        return new NoteSource() {
+            @Override
+            public String noteId() {
+                return note.id();
+            }
+
+            @Override
+            public ReleaseNote against(Configuration configuration) {
+                return note;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/WaitCommand.java
@@ -0,0 +1,171 @@
+package org.plantainferry.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Preconditions;
+import org.plantainferry.network.store.InstanceRecord;
+
+/** Waits until a version is in force on all instances. */
+@Parameters(commandDescription = "Waits until a version is in force on all instances")
+final class WaitCommand implements Command {
+    private static final long POLL_MILLIS = 500;
+    private static final long DEFAULT_TIMEOUT_SECONDS = 60;
+    private static final int NAMES_SHOWN = 5;
+
+    @ParametersDelegate private final GlobalOptions mOptions;
+
+    @Parameter(names = "--version", description = "The version to wait for", required = true)
+    private long mVersion;
+
+    @Parameter(names = "--timeout", description = "Seconds to wait at most")
+    private long mTimeoutSeconds = DEFAULT_TIMEOUT_SECONDS;
+
+    WaitCommand(GlobalOptions options) {
+        mOptions = options;
+    }
+
+    @Override
+    public Outcome run(CommandContext context) {
+        Preconditions.condition(mVersion >= 1, "--version must be at least 1");
+        Preconditions.condition(mTimeoutSeconds >= 1, "--timeout must be at least 1");
+        return new Waiting(context, mVersion, mTimeoutSeconds).run();
+    }
+
+    @Override
+    public String example() {
+        return "plantainferry --store 10.0.0.5:7400 wait --version 18 --timeout 30";
+    }
+
+    /** Holds the state of one wait. */
+    private static final class Waiting {
+        private final CommandContext mContext;
+        private final StoreAccess mStore;
+        private final FleetReader mFleet;
+        private final long mVersion;
+        private final long mTimeoutSeconds;
+        private List<InstanceRecord> mListed = List.of();
+        private String mStoreProblem = "";
+        private String mLastProgress = "";
+
+        Waiting(CommandContext context, long version, long timeoutSeconds) {
+            mContext = context;
+            mStore = context.store();
+            mFleet = new FleetReader(context.instances());
+            mVersion = version;
+            mTimeoutSeconds = timeoutSeconds;
+        }
+
+        Outcome run() {
+            Timing timing = mContext.timing();
+            long start = timing.nowNanos();
+            long timeoutNanos = TimeUnit.SECONDS.toNanos(mTimeoutSeconds);
+            while (true) {
+                refreshList();
+                List<FleetReader.Answer> answers = mFleet.read(mListed);
+                List<FleetReader.Answer> missing =
+                        answers.stream().filter(this::isAwaited).toList();
+                if (!mListed.isEmpty() && missing.isEmpty()) {
+                    return Outcome.done(
+                            Change.NO,
+                            "Version "
+                                    + mVersion
+                                    + " or a later one is in force on all "
+                                    + mListed.size()
+                                    + " listed instances.");
+                }
+                showProgress(missing);
+                if (timing.nowNanos() - start >= timeoutNanos) {
+                    return timedOut(missing);
+                }
+                timing.sleepMillis(POLL_MILLIS);
+            }
+        }
+
+        private void refreshList() {
+            try {
+                mListed = mStore.instances();
+                mStoreProblem = "";
+            } catch (PlantainferryException e) {
+                // Instances pass a version on among themselves, so the last list will do.
+                mStoreProblem = e.getMessage();
+            }
+        }
+
+        private boolean isAwaited(FleetReader.Answer answer) {
+            // A leaving instance that does not answer has ended; the list lags.
+            boolean ended = answer.isLeaving() && answer.status().isEmpty();
+            return !ended && !answer.hasVersion(mVersion);
+        }
+
+        private void showProgress(List<FleetReader.Answer> missing) {
+            String line =
+                    mListed.isEmpty()
+                            ? "no instances are known yet"
+                            : "version "
+                                    + mVersion
+                                    + " is in force on "
+                                    + (mListed.size() - missing.size())
+                                    + " of "
+                                    + mListed.size()
+                                    + " instances; waiting for "
+                                    + names(missing);
+            if (!mStoreProblem.isEmpty()) {
+                line += " (no new list: " + mStoreProblem + ")";
+            }
+            if (!line.equals(mLastProgress)) {
+                mContext.progress(line);
+                mLastProgress = line;
+            }
+        }
+
+        private Outcome timedOut(List<FleetReader.Answer> missing) {
+            if (mListed.isEmpty()) {
+                return Outcome.unavailable(
+                        mStoreProblem.isEmpty()
+                                ? "The platform lists no instances."
+                                : mStoreProblem + ".",
+                        "check the store, and run the command again.");
+            }
+            String message =
+                    "Version "
+                            + mVersion
+                            + " is not in force everywhere after "
+                            + mTimeoutSeconds
+                            + " s: waiting for "
+                            + names(missing)
+                            + ".";
+            if (missing.stream().anyMatch(each -> each.status().isEmpty())) {
+                return Outcome.unavailable(
+                        message,
+                        "run the command again; report instances that stay unreachable to the"
+                                + " platform's operators.");
+            }
+            return Outcome.refused(
+                    message,
+                    "check with \"plantainferry history\" that the version exists, and run the"
+                            + " command again.");
+        }
+
+        private static String names(List<FleetReader.Answer> missing) {
+            String names =
+                    missing.stream()
+                            .limit(NAMES_SHOWN)
+                            .map(Waiting::name)
+                            .collect(Collectors.joining(", "));
+            int hidden = missing.size() - NAMES_SHOWN;
+            return hidden > 0 ? names + " and " + hidden + " more" : names;
+        }
+
+        private static String name(FleetReader.Answer answer) {
+            return answer.listed().id()
+                    + answer.status()
+                            .map(status -> " (version " + status.configurationVersion() + ")")
+                            .orElse(" (not reachable)");
+        }
+    }
+}
--- /dev/null
+++ b/plantainferry-cli/src/test/java/org/plantainferry/cli/ApplyCommandTest.java
@@ -0,0 +1,239 @@
+package org.plantainferry.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.cli.InMemoryStore.Fault;
+import org.plantainferry.network.store.WriteCondition;
+import org.testng.Reporter;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against notes that are applied twice, half, or otherwise than the exit code says. */
+public class ApplyCommandTest {
+    private InMemoryStore mStore;
+    private Operator mOperator;
+
+    @BeforeMethod
+    public void start() {
+        mStore = new InMemoryStore();
+        mOperator = new Operator(mStore);
+    }
+
+    /** Guards against a change that is not what the difference showed. */
+    @Test
+    public void appliesWhatTheDryRunShows() {
+        String note = Operator.note("n1", 0, "counter");
+        assertEquals(mOperator.run("apply", note, "--dry-run"), 0);
+        assertTrue(mOperator.out().contains("+ workspace counter"), mOperator.out());
+        assertEquals(mStore.writes(), 0);
+        assertEquals(mOperator.run("apply", note, "--output", "json"), 0);
+        assertEquals(mOperator.json().at("/changed").asText(), "yes");
+        assertEquals(mOperator.json().at("/data/differences/0/name").asText(), "counter");
+        assertEquals(mOperator.configuration().version(), 1);
+    }
+
+    /** Guards against a difference that hides what changes inside a part. */
+    @Test
+    public void showsChangedFields() {
+        mOperator.run("apply", Operator.note("n1", 0, "counter"));
+        String change =
+                "{\"id\":\"n2\",\"against\":1,\"changed\":{\"workspaces\":[{\"name\":\"counter\","
+                        + "\"ratePerSecond\":20,\"burst\":5,\"weight\":2}]}}";
+        mOperator.run("apply", Operator.file(change));
+        assertTrue(
+                mOperator
+                        .out()
+                        .contains(
+                                "~ workspace counter ratePerSecond: 10.0 -> 20.0,"
+                                        + " weight: none -> 2.0"),
+                mOperator.out());
+    }
+
+    /** Guards against a repeated note that fails or changes something again. */
+    @Test
+    public void repeatedNoteIsAlreadyApplied() {
+        String note = Operator.note("n1", 0, "counter");
+        mOperator.run("apply", note);
+        mOperator.run("apply", Operator.note("n2", 1, "bench"));
+        assertEquals(mOperator.run("apply", note), 0);
+        assertTrue(mOperator.out().contains("already applied, as version 1"), mOperator.out());
+        assertEquals(mStore.writes(), 2);
+    }
+
+    /** Guards against "already applied" for a new note that was given an old identifier. */
+    @Test
+    public void refusesIdentifierOfAnotherNote() {
+        mOperator.run("apply", Operator.note("n1", 0, "counter"));
+        assertEquals(mOperator.run("apply", Operator.note("n1", 1, "bench")), 1);
+        assertEquals(mOperator.run("apply", Operator.note("n1", 0, "bench")), 1);
+        assertTrue(mOperator.err().contains("Nothing was changed"), mOperator.err());
+        assertEquals(mStore.writes(), 1);
+    }
+
+    /** Guards against a note that reverts what was applied after it was written. */
+    @Test
+    public void refusesNoteAgainstOldVersion() {
+        mOperator.run("apply", Operator.note("n1", 0, "counter"));
+        assertEquals(mOperator.run("apply", Operator.note("n2", 0, "bench")), 1);
+        assertTrue(mOperator.err().contains("version 1 is in force"), mOperator.err());
+        assertTrue(mOperator.err().contains("Nothing was changed"), mOperator.err());
+        assertEquals(mStore.writes(), 1);
+    }
+
+    /** Guards against mistakes in files without their place. */
+    @Test
+    public void namesThePlaceOfAMistake() {
+        String[] files = {
+            Operator.file("{\n \"id\":\"n1\",\n \"agianst\":0}"), Operator.file("{"), "/absent"
+        };
+        for (String file : files) {
+            assertEquals(mOperator.run("apply", file), 2);
+            assertTrue(mOperator.err().contains(file), mOperator.err());
+        }
+        mOperator.run("apply", files[0]);
+        assertTrue(mOperator.err().contains("line 3"), mOperator.err());
+        String misfit = "{\"id\":\"n1\",\"against\":0,\"withdrawn\":{\"services\":[\"ledger\"]}}";
+        assertEquals(mOperator.run("apply", Operator.file(misfit)), 1);
+        assertTrue(mOperator.err().contains("service ledger does not exist"), mOperator.err());
+    }
+
+    /** Guards against an unreadable configuration that is overwritten as if there were none. */
+    @Test
+    public void neverReplacesUnreadableConfiguration() {
+        mStore.put(CurrentConfiguration.PATH, "{", WriteCondition.ABSENT);
+        assertEquals(mOperator.run("apply", Operator.note("n1", 0, "counter")), 1);
+        assertEquals(mStore.value(CurrentConfiguration.PATH).orElseThrow(), "{");
+    }
+
+    /** Guards against exit codes that promise more than is known after lost answers. */
+    @Test
+    public void resolvesLostAnswers() {
+        long version = 0;
+        for (Fault fault : new Fault[] {Fault.ANSWER_LOST, Fault.REQUEST_LOST, Fault.DELAYED}) {
+            mStore.failNextWrites(fault);
+            mOperator.onSleep(mStore::flush);
+            String note = Operator.note("n" + version, version, "w" + version);
+            assertEquals(mOperator.run("apply", note), 0, fault.toString());
+            version++;
+            assertEquals(mOperator.configuration().version(), version);
+        }
+        assertEquals(mStore.writes(), 3);
+    }
+
+    /** Guards against a lost race that is not told from a success after a lost answer. */
+    @Test
+    public void lostAnswerAndLostRaceAreAConflict() {
+        mStore.failNextWrites(Fault.DELAYED);
+        Operator other = new Operator(mStore);
+        mOperator.onSleep(
+                () -> {
+                    other.run("apply", Operator.note("n2", 0, "bench"));
+                    mStore.flush();
+                });
+        assertEquals(mOperator.run("apply", Operator.note("n1", 0, "counter")), 1);
+        assertEquals(mOperator.configuration().notes(), List.of("n2"));
+    }
+
+    /** Guards against "nothing was changed" while a change may still arrive. */
+    @Test
+    public void outcomeIsUnknownWhenTheStoreStaysDown() {
+        String note = Operator.note("n1", 0, "counter");
+        mStore.failNextWrites(Fault.DELAYED);
+        mOperator.onSleep(() -> mStore.failReadsWhen(() -> true));
+        assertEquals(mOperator.run("apply", note, "--output", "json"), 4);
+        assertEquals(mOperator.json().at("/changed").asText(), "unknown");
+        assertEquals(mOperator.run("apply", note), 3);
+        assertTrue(mOperator.err().contains("Nothing was changed"), mOperator.err());
+        mStore.failReadsWhen(() -> false);
+        mStore.failNextWrites(Fault.REFUSED);
+        assertEquals(mOperator.run("apply", note), 3);
+    }
+
+    /** Lists whether two operators apply the same note or two notes. */
+    @DataProvider
+    public Object[][] races() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** Guards against two operators of whom both, or neither, are told that they succeeded. */
+    @Test(dataProvider = "races")
+    public void oneOfTwoOperatorsWins(boolean sameNote) throws Exception {
+        ExecutorService executor = Executors.newFixedThreadPool(2);
+        try {
+            for (int round = 0; round < 50; round++) {
+                String first = Operator.note("a" + round, round, "a" + round);
+                String second = sameNote ? first : Operator.note("b" + round, round, "b" + round);
+                List<Callable<Integer>> runs = new ArrayList<>();
+                for (String note : new String[] {first, second}) {
+                    runs.add(() -> new Operator(mStore).run("apply", note));
+                }
+                int failed = 0;
+                for (Future<Integer> run : executor.invokeAll(runs)) {
+                    failed += run.get();
+                }
+                assertEquals(failed, sameNote ? 0 : 1);
+                assertEquals(mOperator.configuration().version(), round + 1);
+            }
+            assertEquals(mStore.writes(), 50);
+        } finally {
+            executor.shutdown();
+        }
+    }
+
+    /** Guards against exit codes that do not match the store, under any order of faults. */
+    @Test
+    public void exitCodesHoldUnderRandomFaults() {
+        long seed = new Random().nextLong();
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        Map<String, Integer> codes = new HashMap<>();
+        for (int round = 0; round < 400; round++) {
+            Fault[] faults = new Fault[random.nextInt(14)];
+            for (int i = 0; i < faults.length; i++) {
+                faults[i] = Fault.values()[random.nextInt(Fault.values().length)];
+            }
+            mStore.failNextWrites(faults);
+            mStore.failReadsWhen(() -> random.nextInt(4) == 0);
+            Operator other = new Operator(mStore);
+            mOperator.onSleep(
+                    () -> {
+                        if (random.nextInt(3) == 0) {
+                            mStore.flush();
+                        }
+                        if (random.nextInt(8) == 0) {
+                            String name = "other" + random.nextInt(Integer.MAX_VALUE);
+                            long version = mOperator.configuration().version();
+                            other.run("apply", Operator.note(name, version, name));
+                        }
+                    });
+            String name = "note" + round;
+            long version = mOperator.configuration().version();
+            codes.put(name, mOperator.run("apply", Operator.note(name, version, name)));
+            mStore.flush();
+        }
+        Configuration last = mOperator.configuration();
+        assertEquals(last.version(), mStore.writes());
+        for (Map.Entry<String, Integer> each : codes.entrySet()) {
+            boolean applied =
+                    last.parts().workspaces().stream()
+                            .anyMatch(w -> w.name().value().equals(each.getKey()));
+            int code = each.getValue();
+            assertTrue(code == 4 || applied == (code == 0), "seed " + seed + " " + each);
+        }
+        assertTrue(codes.containsValue(0) && codes.containsValue(1) && codes.containsValue(3));
+        assertFalse(codes.containsValue(2));
+    }
+}
