--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.Preconditions;
 import org.plantainferry.engine.membership.DomainReport;
 import org.plantainferry.engine.membership.GroupTerm;
 import org.plantainferry.engine.membership.HeartbeatView;
@@ -23,8 +24,10 @@
  *
  * <p>{@link Freshness#OUTAGE} rests on two assumptions: a change that the store accepts reaches the
  * watch of some instance before the store goes out, and instances of one failure domain that can
- * talk pass it on within seconds. An observation that the store was not reached counts only for the
- * versions up to that of the heartbeat that brought it.
+ * talk pass it on within seconds. An instance therefore speaks for its failure domain only after it
+ * has been in touch with another instance of it for {@link #SETTLED_NANOS}; one that was cut off
+ * may have missed what the others know. An observation that the store was not reached counts only
+ * for the versions up to that of the heartbeat that brought it.
  *
  * @since 0.1
  */
@@ -38,7 +41,18 @@
     /** The age of the confirmation from which every heartbeat wants an answer. */
     static final long ANSWERS_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** The time in touch with its failure domain after which an instance speaks for it. */
+    static final long SETTLED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** A longer time without a heartbeat of its failure domain means it was out of touch. */
+    static final long TOUCH_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
     private final FailureDomain mDomain;
+    private Set<FailureDomain> mDomains;
+    private boolean mAlone = true;
+    private boolean mTouched;
+    private long mTouchNanos;
+    private long mTouchedSinceNanos;
     private long mVersion;
     private long mNewestVersion;
     private Optional<Confirmation> mConfirmation = Optional.empty();
@@ -54,7 +68,19 @@
 
     /** Creates the state of an instance in a failure domain, before any contact. */
     public ConfigurationFreshness(FailureDomain domain) {
-        mDomain = domain;
+        mDomain = Preconditions.notNull(domain, "domain");
+        mDomains = Set.of(domain);
+    }
+
+    /**
+     * Takes in which instances the platform lists, suspected ones included.
+     *
+     * @param domains the failure domains that have instances
+     * @param isAlone whether this instance is the only one of its failure domain
+     */
+    public void onInstances(Set<FailureDomain> domains, boolean isAlone) {
+        mDomains = Set.copyOf(domains);
+        mAlone = isAlone;
     }
 
     /** Takes in that a version is in force here now. */
@@ -94,13 +120,18 @@
             mStoreTried = true;
             mStoreFailed = true;
             mStoreNanos = sentNanos;
-            notReached(mDomain, new Confirmation(mVersion, sentNanos));
+            if (mAlone || isSettled(nowNanos)) {
+                notReached(mDomain, new Confirmation(mVersion, sentNanos));
+            }
         }
     }
 
     /** Takes in a heartbeat that was not asked for. */
     public void onHeartbeat(HeartbeatView heartbeat, long nowNanos) {
         LocalStatus status = heartbeat.status();
+        if (heartbeat.failureDomain().equals(mDomain)) {
+            touch(nowNanos);
+        }
         mNewestVersion = Math.max(mNewestVersion, status.configurationVersion());
         for (DomainReport report : status.domains()) {
             if (report.storeReachable()) {
@@ -129,11 +160,11 @@
         }
     }
 
-    /** Returns until when the version in force counts as fresh, given the known domains. */
-    public FreshnessView view(Set<FailureDomain> domains, long nowNanos) {
+    /** Returns until when the version in force counts as fresh. */
+    public FreshnessView view(long nowNanos) {
         boolean hasFresh = mConfirmation.isPresent();
         long freshUntil = hasFresh ? mConfirmation.get().nanos() + MAX_AGE_NANOS : 0;
-        Optional<Long> outageUntil = outageUntil(domains, nowNanos);
+        Optional<Long> outageUntil = outageUntil(nowNanos);
         return new FreshnessView(
                 mVersion, hasFresh, freshUntil, outageUntil.isPresent(), outageUntil.orElse(0L));
     }
@@ -200,6 +231,20 @@
         return Optional.of(other);
     }
 
+    private void touch(long nowNanos) {
+        if (!mTouched || nowNanos - mTouchNanos > TOUCH_GAP_NANOS) {
+            mTouchedSinceNanos = nowNanos;
+        }
+        mTouched = true;
+        mTouchNanos = nowNanos;
+    }
+
+    private boolean isSettled(long nowNanos) {
+        return mTouched
+                && nowNanos - mTouchNanos <= TOUCH_GAP_NANOS
+                && nowNanos - mTouchedSinceNanos >= SETTLED_NANOS;
+    }
+
     private void reached(FailureDomain domain, long atNanos) {
         mReached.merge(domain, atNanos, (known, at) -> at - known > 0 ? at : known);
     }
@@ -212,7 +257,7 @@
     }
 
     /** Returns the end of the outage, or empty when there is none now. */
-    private Optional<Long> outageUntil(Set<FailureDomain> domains, long nowNanos) {
+    private Optional<Long> outageUntil(long nowNanos) {
         if (mNewestVersion > mVersion) {
             return Optional.empty();
         }
@@ -222,7 +267,7 @@
             }
         }
         Optional<Long> end = Optional.empty();
-        for (FailureDomain domain : domains) {
+        for (FailureDomain domain : mDomains) {
             Confirmation observation = mNotReached.get(domain);
             if (observation == null || observation.version() > mVersion) {
                 return Optional.empty();
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
@@ -198,6 +198,17 @@
         return domains;
     }
 
+    /** Returns whether no other instance of this failure domain is listed. */
+    public boolean isAloneInDomain() {
+        return mPeers.values().stream()
+                .noneMatch(
+                        each ->
+                                each.member() != null
+                                        && each.member()
+                                                .failureDomain()
+                                                .equals(mSelf.failureDomain()));
+    }
+
     /**
      * Returns the nanoseconds since an instance was last heard of, directly or through others, or
      * empty when it never was.
