--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
@@ -147,7 +147,7 @@
         TrafficSnapshot snapshot =
                 new TrafficSnapshot(
                         mKeys,
-                        mFleet.freshness().view(mFleet.failureDomains(), now),
+                        mFleet.freshness().view(now),
                         members,
                         mGateways,
                         mFleet.drain().view(now));
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/FleetState.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/FleetState.java
@@ -71,6 +71,9 @@
         mListedNanos = nowNanos;
         mListKnown = true;
         mMembership.onPlatformList(members, nowNanos);
+        Set<FailureDomain> domains = new HashSet<>(mMembership.failureDomains());
+        domains.add(mSelf.failureDomain());
+        mFreshness.onInstances(domains, isAloneInDomain());
     }
 
     List<Member> listed() {
@@ -81,11 +84,11 @@
         return mListKnown && nowNanos - mListedNanos <= maximumAgeNanos;
     }
 
-    /** Returns the failure domains of the configuration and of all listed instances. */
-    Set<FailureDomain> failureDomains() {
-        Set<FailureDomain> domains = new HashSet<>(mMembership.failureDomains());
-        domains.add(mSelf.failureDomain());
-        configuration().parts().failureDomains().forEach(each -> domains.add(each.name()));
-        return domains;
+    private boolean isAloneInDomain() {
+        return mListed.stream()
+                .noneMatch(
+                        each ->
+                                each.failureDomain().equals(mSelf.failureDomain())
+                                        && !each.id().equals(mSelf.id()));
     }
 }
