--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
@@ -10,21 +10,32 @@
     // Below this the workspace counts as idle; one request decays to it in about 1 s.
     private static final double NEGLIGIBLE = 0.02;
 
+    // A gap of three mean intervals has a chance of 5% in random traffic; a longer one shows that
+    // the traffic has ended, long before the average does.
+    private static final double LONGEST_GAP = 3;
+
     private double mPerSecond;
     private long mUpdated;
+    private long mLastCounted;
 
     DemandMeter(long nowNanos) {
         mUpdated = nowNanos;
+        mLastCounted = nowNanos;
     }
 
     void count(long nowNanos) {
         decay(nowNanos);
         mPerSecond += ShareTiming.NANOS_PER_SECOND / TIME_CONSTANT;
+        mLastCounted = nowNanos;
     }
 
     double perSecond(long nowNanos) {
         decay(nowNanos);
-        return mPerSecond < NEGLIGIBLE ? 0 : mPerSecond;
+        if (mPerSecond < NEGLIGIBLE) {
+            return 0;
+        }
+        long gap = Math.max(1, nowNanos - mLastCounted);
+        return Math.min(mPerSecond, LONGEST_GAP * ShareTiming.NANOS_PER_SECOND / gap);
     }
 
     private void decay(long nowNanos) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
@@ -11,6 +11,8 @@
     // Demand is an average over 200 ms; the surplus covers its growth until the next request.
     private static final double HEADROOM = 1.25;
 
+    private static final double SCARCE = 3;
+
     private final Map<InstanceId, Double> mRates = new HashMap<>();
     private final double mTotalRate;
     private final double mTotalCapacity;
@@ -84,6 +86,11 @@
         return least + (mTotalCapacity - mActive * least) * part(instance);
     }
 
+    /** Returns whether the part is so small that tokens are better lent one by one. */
+    boolean isScarce(InstanceId instance) {
+        return mActive > 1 && mRates.containsKey(instance) && capacity(instance) < SCARCE;
+    }
+
     double reserve() {
         return mReserve;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -102,14 +102,14 @@
                 depositedSlots > 0 || tokens > 0 ? tokens : 0,
                 mBucket.demandPerSecond(nowNanos),
                 mBucket.grantTokens(nowNanos),
-                mBucket.isStarving());
+                mBucket.waiting());
     }
 
     /** Returns whether this instance needs the allocator for the workspace. */
     boolean isInterested(long nowNanos, int usableSlots) {
         return usableSlots > 0
                 || mTokensToReturn > 0
-                || mBucket.isStarving()
+                || mBucket.waiting() > 0
                 || mBucket.hasGrant(nowNanos)
                 || mBucket.demandPerSecond(nowNanos) > 0;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -17,6 +17,10 @@
 final class LendingBook {
     private static final long SHORTEST_GRANT = TimeUnit.MILLISECONDS.toNanos(600);
 
+    // Counted from the sending of the request, so it must exceed a round trip; until it ends, the
+    // capacity cannot be used elsewhere.
+    private static final long SINGLE_TOKENS_VALID = TimeUnit.MILLISECONDS.toNanos(50);
+
     // Kept for instances that have no grant yet, so that their first request is answered at once.
     private static final double RESERVE_PART = 0.1;
     private static final double POOL_RATE_PART = 0.05;
@@ -77,42 +81,80 @@
         long valid = validity();
         int slots = depositedSlots(mNow + valid);
         Division division = new Division(mNow, mBorrowers, mTerms, slots, RESERVE_PART);
-        double ownCapacity = borrower.lentCapacity(mNow);
-        double freeRate =
-                Math.max(0, slots * mTerms.ratePerSecond() - lentRate() + borrower.lentRate(mNow));
-        double freeCapacity = Math.max(0, slots * mTerms.capacity() - lentCapacity() + ownCapacity);
-        double rate = Math.min(freeRate, division.rate(instance) - poolRate(division, instance));
-        double capacity = Math.min(freeCapacity, division.capacity(instance));
-        double offered =
-                share.starving()
-                        ? mPool
-                        : Math.max(0, mPool - division.reserve()) * division.part(instance);
-        if (share.starving()) {
-            double oneToken = Math.max(0, share.level()) + Math.min(1, offered);
-            capacity = Math.max(capacity, Math.min(freeCapacity, oneToken));
-        }
-        double tokens = Math.min(offered, capacity - Math.max(0, share.level()));
-        tokens = Math.max(0, Math.min(tokens, freeCapacity - ownCapacity));
-        if (capacity < 1) {
-            // A bucket that cannot hold a whole token only withholds it from the others.
-            capacity = 0;
-            rate = 0;
-            tokens = 0;
-        }
-        rate = Math.max(0, rate);
+        ShareAnswer.Grant grant =
+                division.isScarce(instance)
+                        ? singleTokens(share, borrower, slots)
+                        : standing(instance, share, borrower, division, slots, valid);
         boolean enough =
-                capacity >= division.capacity(instance) / RECALL_FACTOR
-                        && rate >= division.rate(instance) / RECALL_FACTOR
-                        && share.level() + tokens >= 1;
+                grant.capacity() >= division.capacity(instance) / RECALL_FACTOR
+                        && grant.ratePerSecond() >= division.rate(instance) / RECALL_FACTOR;
+        boolean unserved = share.waiting() > 0 && share.level() + grant.tokens() < 1;
         List<InstanceId> recalled =
-                share.starving() && !enough ? recall(instance, division) : List.of();
-        boolean moreSoon = share.starving() && !enough && isAnyRecalled(instance);
-        ShareAnswer.Grant grant =
-                new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, moreSoon);
-        mPool -= tokens;
+                unserved || (share.waiting() > 0 && !enough)
+                        ? recall(instance, division, unserved)
+                        : List.of();
+        boolean moreSoon = unserved && isAnyRecalled(instance);
+        mPool -= grant.tokens();
         borrower.lend(nonce, grant, mNow);
         mPool = Math.max(0, Math.min(mPool, freeCapacity()));
-        return new Loan(grant, recalled);
+        return new Loan(grant.withMoreSoon(moreSoon), recalled);
+    }
+
+    /** Lends tokens for waiting requests only, for a short time. */
+    private ShareAnswer.Grant singleTokens(
+            ShareRequest.Share share, LentShare borrower, int slots) {
+        double level = Math.max(0, share.level());
+        double ownCapacity = borrower.lentCapacity(mNow);
+        double free = freeCapacity(slots, ownCapacity);
+        double tokens = Math.min(Math.max(0, share.waiting() - level), mPool);
+        tokens = Math.max(0, Math.min(tokens, free - ownCapacity));
+        if (level + tokens < 1) {
+            tokens = 0;
+            level = 0;
+        }
+        double capacity = Math.min(free, level + tokens);
+        return new ShareAnswer.Grant(
+                share.workspace(), 0, capacity, tokens, SINGLE_TOKENS_VALID, false);
+    }
+
+    private ShareAnswer.Grant standing(
+            InstanceId instance,
+            ShareRequest.Share share,
+            LentShare borrower,
+            Division division,
+            int slots,
+            long valid) {
+        double level = Math.max(0, share.level());
+        double ownCapacity = borrower.lentCapacity(mNow);
+        double free = freeCapacity(slots, ownCapacity);
+        double capacity = Math.min(free, division.capacity(instance));
+        double offered = Math.max(0, mPool - division.reserve()) * division.part(instance);
+        if (share.waiting() > 0) {
+            offered = mPool;
+            capacity = Math.max(capacity, Math.min(free, level + Math.min(1, offered)));
+        } else if (isOtherStarving(borrower)) {
+            // Half of the tokens go to those who have none; repeated recalls take the rest.
+            capacity = Math.min(capacity, level / 2);
+        }
+        capacity = capacity < 1 ? 0 : capacity;
+        double tokens = Math.min(offered, capacity - level);
+        tokens = Math.max(0, Math.min(tokens, free - ownCapacity));
+        double poolSpace = free - Math.max(capacity, ownCapacity + tokens) - (mPool - tokens);
+        double freeRate =
+                Math.max(0, slots * mTerms.ratePerSecond() - lentRate() + borrower.lentRate(mNow));
+        double rate = division.rate(instance) - poolRate(division, instance, poolSpace);
+        rate = capacity > 0 ? Math.max(0, Math.min(freeRate, rate)) : 0;
+        return new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, false);
+    }
+
+    /** Returns the capacity that is not lent to others. */
+    private double freeCapacity(int slots, double ownCapacity) {
+        return Math.max(0, slots * mTerms.capacity() - lentCapacity() + ownCapacity);
+    }
+
+    private boolean isOtherStarving(LentShare borrower) {
+        return mBorrowers.values().stream()
+                .anyMatch(each -> each != borrower && each.isStarving() && each.isActive(mNow));
     }
 
     boolean isAbandoned(long nowNanos, long afterNanos) {
@@ -123,21 +165,24 @@
         return mBorrowers.isEmpty();
     }
 
-    private double poolRate(Division division, InstanceId instance) {
-        double missing = Math.max(0, division.reserve() - mPool);
+    /** Returns the rate that is held back to fill the pool, if it has space. */
+    private double poolRate(Division division, InstanceId instance, double space) {
+        double missing = Math.max(0, Math.min(space, division.reserve() - mPool));
         double perSecond =
                 missing * ShareTiming.NANOS_PER_SECOND / (double) ShareTiming.REQUEST_PERIOD;
         return Math.min(perSecond, POOL_RATE_PART * division.totalRate()) * division.part(instance);
     }
 
-    private List<InstanceId> recall(InstanceId starving, Division division) {
+    private List<InstanceId> recall(InstanceId starving, Division division, boolean unserved) {
         List<InstanceId> recalled = new ArrayList<>();
         mBorrowers.forEach(
                 (instance, each) -> {
                     boolean surplus =
                             each.lentCapacity(mNow) > division.capacity(instance) * RECALL_FACTOR
-                                    || each.lentRate(mNow)
-                                            > division.rate(instance) * RECALL_FACTOR;
+                                    || each.lentRate(mNow) > division.rate(instance) * RECALL_FACTOR
+                                    || (unserved
+                                            && !each.isStarving()
+                                            && each.lentCapacity(mNow) >= 2);
                     if (!instance.equals(starving) && surplus && each.recall(mNow)) {
                         recalled.add(instance);
                     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
@@ -25,7 +25,7 @@
     void seen(long nowNanos, ShareRequest.Share share) {
         mSeen = nowNanos;
         mDemand = Math.max(0, share.demandPerSecond());
-        mStarving = share.starving();
+        mStarving = share.waiting() > 0;
     }
 
     long lastSeen() {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
@@ -36,5 +36,9 @@
             double capacity,
             double tokens,
             long validNanos,
-            boolean moreSoon) {}
+            boolean moreSoon) {
+        Grant withMoreSoon(boolean soon) {
+            return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, soon);
+        }
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -23,8 +23,12 @@
  */
 public final class ShareHolder {
     private static final long ASK_AGAIN = TimeUnit.MILLISECONDS.toNanos(5);
-    private static final double EXTRA_REQUESTS_PER_SECOND = 25;
-    private static final double EXTRA_REQUESTS_BURST = 50;
+    private static final double EXTRA_REQUESTS_PER_SECOND = 30;
+    private static final double EXTRA_REQUESTS_BURST = 60;
+
+    // Any time that is longer than the pauses between two ticks; the bucket compares times by their
+    // difference, which must not overflow.
+    private static final long EXTRA_REQUESTS_LAPSE = TimeUnit.HOURS.toNanos(1);
 
     private final InstanceId mSelf;
     private final ShareTerms mTerms;
@@ -57,7 +61,10 @@
     public List<SendShareRequest> tick(long nowNanos, int usableSlots, AllocatorRanking ranking) {
         followConfiguration(nowNanos);
         mExtraRequests.setPermanent(
-                nowNanos, EXTRA_REQUESTS_PER_SECOND, EXTRA_REQUESTS_BURST, Long.MAX_VALUE);
+                nowNanos,
+                EXTRA_REQUESTS_PER_SECOND,
+                EXTRA_REQUESTS_BURST,
+                nowNanos + EXTRA_REQUESTS_LAPSE);
         Map<InstanceId, List<HeldShare>> interested = new LinkedHashMap<>();
         for (HeldShare share : mShares.values()) {
             chooseAllocator(nowNanos, share, ranking.candidates(share.name()));
@@ -102,7 +109,7 @@
             if (share.install(nowNanos, grant, link.sentAt())) {
                 link.makeUrgent(nowNanos);
             }
-            if (grant.moreSoon() && share.bucket().isStarving()) {
+            if (grant.moreSoon() && share.bucket().waiting() > 0) {
                 link.makeUrgent(nowNanos + ASK_AGAIN);
             }
             woken.add(grant.workspace());
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareRequest.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareRequest.java
@@ -33,7 +33,7 @@
      * @param depositedTokens tokens that leave the sender with this request
      * @param demandPerSecond requests offered to the sender
      * @param level tokens left of the grant in use
-     * @param starving whether requests wait for a token
+     * @param waiting requests that wait for a token
      * @since 0.1
      */
     public record Share(
@@ -42,5 +42,5 @@
             double depositedTokens,
             double demandPerSecond,
             double level,
-            boolean starving) {}
+            int waiting) {}
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -37,7 +37,7 @@
     private long mNextAsk;
     private long mBackoff = FIRST_BACKOFF;
     private boolean mAskWanted;
-    private boolean mStarving;
+    private int mWaiting;
 
     /** Creates an empty bucket. */
     public WorkspaceBucket(long nowNanos) {
@@ -53,16 +53,16 @@
     public synchronized Acquisition tryAcquire(long nowNanos) {
         advance(nowNanos);
         mDemand.count(mNow);
-        return acquire();
+        return acquire(true);
     }
 
     /** Tries again for a request that was told to wait; it does not count as demand again. */
     public synchronized Acquisition retryAcquire(long nowNanos) {
         advance(nowNanos);
-        return acquire();
+        return acquire(false);
     }
 
-    private Acquisition acquire() {
+    private Acquisition acquire(boolean first) {
         if (mPermanentTokens + mGrantTokens >= ONE_TOKEN) {
             double fromGrant = Math.min(1, mGrantTokens);
             mGrantTokens -= fromGrant;
@@ -70,11 +70,12 @@
             return GRANTED;
         }
         if (mNow - mWaitUntil < 0) {
+            mWaiting += first ? 1 : 0;
             return new Acquisition.Wait(mWaitUntil - mNow);
         }
         if (mNow - mNextAsk >= 0) {
             mAskWanted = true;
-            mStarving = true;
+            mWaiting = 1;
             mWaitUntil = mNow + ShareTiming.LONGEST_WAIT;
             // The ask may never be answered; callers after it are refused for a while.
             mNextAsk = mWaitUntil + mBackoff;
@@ -172,7 +173,7 @@
             mWaitUntil = mNow;
         }
         mAskWanted = false;
-        mStarving = false;
+        mWaiting = 0;
         mBackoff = fruitful ? FIRST_BACKOFF : Math.min(LONGEST_BACKOFF, mBackoff * 2);
         mNextAsk = fruitful ? mNow : mNow + mBackoff;
     }
@@ -184,9 +185,9 @@
         return wanted;
     }
 
-    /** Returns whether an ask is unanswered. */
-    public synchronized boolean isStarving() {
-        return mStarving;
+    /** Returns how many requests were told to wait since the last ask ended. */
+    public synchronized int waiting() {
+        return mWaiting;
     }
 
     /** Returns the smoothed number of requests offered each second, including refused ones. */
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareInvariantTest.java
@@ -0,0 +1,158 @@
+package org.plantainferry.engine.limit;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.engine.limit.ShareSimulation.Node;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against workspaces that get more than rate*t + burst while the fleet is in trouble. */
+public class ShareInvariantTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double ROUNDING = 1e-3;
+    private static final int[] SLOTS = {3, 2, 4};
+    private static final int WORKSPACES = 2;
+    private static final double RATE = 100;
+
+    private int mNames;
+
+    @DataProvider
+    public Object[][] troubles() {
+        return new Object[][] {
+            {"calm", 100},
+            {"loss", 150},
+            {"delay", 150},
+            {"pause", 150},
+            {"restart", 150},
+            {"split", 150},
+            {"views", 150},
+            {"all", 400}
+        };
+    }
+
+    @Test(dataProvider = "troubles")
+    public void staysWithinRateAndBurstInEveryWindow(String trouble, int seeds) {
+        long granted = 0;
+        for (int seed = 1; seed <= seeds; seed++) {
+            double burst = seed % 3 == 0 ? 5 : 20;
+            ShareSimulation fleet = fleet(seed, trouble, burst);
+            fleet.run(10 * SECOND);
+            for (int w = 0; w < WORKSPACES; w++) {
+                double excess = fleet.excess(ShareSimulation.workspace(w), RATE, burst, 0);
+                assertTrue(
+                        excess <= ROUNDING,
+                        trouble + ", seed " + seed + ", workspace " + w + ": excess " + excess);
+                granted +=
+                        fleet.mGranted.getOrDefault(ShareSimulation.workspace(w), List.of()).size();
+            }
+        }
+        System.out.printf(
+                "%s: %d runs, %.1f granted/s of %.0f%n",
+                trouble, seeds, granted / 10.0 / seeds / WORKSPACES, RATE);
+    }
+
+    private ShareSimulation fleet(int seed, String trouble, double burst) {
+        boolean all = trouble.equals("all");
+        ShareSimulation fleet = new ShareSimulation(seed);
+        Configuration configuration =
+                ShareSimulation.configuration(1, WORKSPACES, RATE, burst, SLOTS);
+        List<Node> live = new ArrayList<>();
+        for (int domain = 0; domain < SLOTS.length; domain++) {
+            live.add(fleet.add("n" + mNames++, domain, 1, configuration));
+            live.add(fleet.add("n" + mNames++, domain, SLOTS[domain] - 1, configuration));
+            live.add(fleet.add("n" + mNames++, domain, 0, configuration));
+        }
+        for (int w = 0; w < WORKSPACES; w++) {
+            overload(fleet, live, w);
+        }
+        if (all || trouble.equals("loss")) {
+            fleet.mLoss = fleet.mRandom.nextDouble() * 0.3;
+            fleet.mDuplicates = 0.2;
+        }
+        if (all || trouble.equals("delay")) {
+            fleet.mLongDelays = fleet.mRandom.nextDouble() * 0.3;
+        }
+        if (all || trouble.equals("pause")) {
+            repeat(fleet, 500, () -> pause(fleet, live));
+        }
+        if (all || trouble.equals("restart")) {
+            repeat(fleet, 2_500, () -> restart(fleet, live, configuration));
+        }
+        if (all || trouble.equals("split")) {
+            repeat(fleet, 2_000, () -> fleet.mSplit = !fleet.mSplit);
+        }
+        if (all || trouble.equals("views")) {
+            repeat(fleet, 700, () -> changeView(fleet, live));
+        }
+        return fleet;
+    }
+
+    /** Sends several times the rate to a few instances, and to others every second. */
+    private static void overload(ShareSimulation fleet, List<Node> live, int workspace) {
+        Random random = fleet.mRandom;
+        List<Node> used = new ArrayList<>();
+        repeat(
+                fleet,
+                1_000,
+                () -> {
+                    used.clear();
+                    int count = 1 + random.nextInt(4);
+                    for (int i = 0; i < count; i++) {
+                        used.add(live.get(random.nextInt(live.size())));
+                    }
+                });
+        repeat(
+                fleet,
+                6,
+                () -> {
+                    int requests = random.nextInt(100) == 0 ? 40 : 1 + random.nextInt(4);
+                    for (int i = 0; i < requests && !used.isEmpty(); i++) {
+                        Node node = used.get(random.nextInt(used.size()));
+                        fleet.afterPause(
+                                node, () -> node.arrive(ShareSimulation.workspace(workspace)));
+                    }
+                });
+    }
+
+    private static void pause(ShareSimulation fleet, List<Node> live) {
+        Node node = live.get(fleet.mRandom.nextInt(live.size()));
+        node.mPausedUntil = fleet.mNow + (long) (fleet.mRandom.nextDouble() * 4 * SECOND);
+    }
+
+    private void restart(ShareSimulation fleet, List<Node> live, Configuration configuration) {
+        int index = fleet.mRandom.nextInt(live.size());
+        Node old = live.get(index);
+        old.mDead = true;
+        Node fresh = fleet.add("n" + mNames++, old.mDomain, 0, configuration);
+        live.set(index, fresh);
+        // The platform's rules reclaim slots after 20 s; 3 s cover the deposits.
+        fleet.at(fleet.mNow + 3 * SECOND, () -> fresh.mSlots += old.mSlots);
+        for (Node node : live) {
+            long delay = (long) (fleet.mRandom.nextDouble() * 5 * SECOND);
+            fleet.at(fleet.mNow + delay, () -> node.mView.remove(old));
+        }
+    }
+
+    /** Makes instances disagree on the allocators. */
+    private static void changeView(ShareSimulation fleet, List<Node> live) {
+        Node node = live.get(fleet.mRandom.nextInt(live.size()));
+        Node other = live.get(fleet.mRandom.nextInt(live.size()));
+        if (!node.mView.remove(other)) {
+            node.mView.add(other);
+        }
+    }
+
+    private static void repeat(ShareSimulation fleet, long meanMillis, Runnable action) {
+        long delay = (long) (fleet.mRandom.nextDouble() * 2 * meanMillis * ShareSimulation.MILLI);
+        fleet.at(
+                fleet.mNow + delay,
+                () -> {
+                    action.run();
+                    repeat(fleet, meanMillis, action);
+                });
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -0,0 +1,316 @@
+package org.plantainferry.engine.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.FailureDomain;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.WorkspaceName;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.api.configuration.ConfigurationParts;
+import org.plantainferry.api.configuration.DomainShare;
+import org.plantainferry.api.configuration.Workspace;
+
+/** Runs share holders and allocators over a scripted network in simulated time. */
+final class ShareSimulation {
+    private record Event(long at, long order, Runnable action) {}
+
+    /** One process with its own clock. */
+    final class Node {
+        final InstanceId mId;
+        final int mDomain;
+        final long mClockOffset = mRandom.nextLong() >> 2;
+        final ShareTerms mTerms;
+        final ShareHolder mHolder;
+        final ShareAllocator mAllocator;
+        final Set<Node> mView = new HashSet<>();
+        final Map<WorkspaceName, List<Waiter>> mWaiters = new HashMap<>();
+        int mSlots;
+        long mPausedUntil;
+        boolean mDead;
+
+        Node(String id, int domain, Configuration configuration) {
+            mId = new InstanceId(id);
+            mDomain = domain;
+            mTerms = new ShareTerms(configuration);
+            mHolder = new ShareHolder(clock(), mId, mTerms);
+            mAllocator = new ShareAllocator(clock(), mTerms, mRandom.nextLong());
+        }
+
+        long clock() {
+            return mNow + mClockOffset;
+        }
+
+        void tick() {
+            int usable = Math.min(mSlots, mTerms.usableSlots(clock(), domain(mDomain)));
+            mHolder.tick(clock(), usable, this::rank).forEach(this::send);
+        }
+
+        private List<InstanceId> rank(WorkspaceName workspace) {
+            return mView.stream()
+                    .sorted(
+                            Comparator.comparingLong(
+                                    node -> mix(node.mId.hashCode(), workspace.hashCode())))
+                    .limit(2)
+                    .map(node -> node.mId)
+                    .toList();
+        }
+
+        private void send(SendShareRequest sent) {
+            Node allocator = mNodes.get(sent.allocator());
+            measure(this, allocator, requestBytes(sent.request()));
+            deliver(this, allocator, () -> allocator.handle(this, sent.request()));
+        }
+
+        private void handle(Node borrower, ShareRequest request) {
+            AllocatorReply reply = mAllocator.request(clock(), request);
+            reply.answer().ifPresent(answer -> answer(borrower, answer));
+            for (InstanceId recalled : reply.recalled()) {
+                Node node = mNodes.get(recalled);
+                measure(this, node, RECALL_BYTES);
+                deliver(
+                        this,
+                        node,
+                        () -> {
+                            node.mHolder.recalled(node.clock(), mId);
+                            node.tick();
+                        });
+            }
+        }
+
+        private void answer(Node borrower, ShareAnswer answer) {
+            measure(this, borrower, answerBytes(answer));
+            deliver(
+                    this,
+                    borrower,
+                    () -> {
+                        List<WorkspaceName> woken =
+                                borrower.mHolder.answered(borrower.clock(), mId, answer);
+                        woken.forEach(borrower::wake);
+                        borrower.tick();
+                    });
+        }
+
+        void arrive(WorkspaceName workspace) {
+            mOffered++;
+            Acquisition result = mHolder.bucket(workspace).orElseThrow().tryAcquire(clock());
+            if (result instanceof Acquisition.Wait wait) {
+                Waiter waiter = new Waiter(workspace);
+                mWaiters.computeIfAbsent(workspace, key -> new ArrayList<>()).add(waiter);
+                at(mNow + wait.nanos(), () -> afterPause(this, () -> waiter.retry(this, true)));
+                tick();
+            } else {
+                count(workspace, result);
+            }
+        }
+
+        private void wake(WorkspaceName workspace) {
+            List<Waiter> waiters = mWaiters.remove(workspace);
+            if (waiters != null) {
+                waiters.forEach(waiter -> waiter.retry(this, false));
+            }
+        }
+    }
+
+    private final class Waiter {
+        private final WorkspaceName mWorkspace;
+        private boolean mDone;
+
+        Waiter(WorkspaceName workspace) {
+            mWorkspace = workspace;
+        }
+
+        void retry(Node node, boolean last) {
+            if (mDone || node.mDead) {
+                return;
+            }
+            Acquisition result =
+                    node.mHolder.bucket(mWorkspace).orElseThrow().retryAcquire(node.clock());
+            if (result instanceof Acquisition.Wait && !last) {
+                node.mWaiters.computeIfAbsent(mWorkspace, key -> new ArrayList<>()).add(this);
+                return;
+            }
+            mDone = true;
+            count(mWorkspace, result);
+        }
+    }
+
+    private static final int RECALL_BYTES = 12;
+    static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    final Random mRandom;
+    final Map<InstanceId, Node> mNodes = new HashMap<>();
+    final Map<WorkspaceName, List<Long>> mGranted = new HashMap<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    long mNow;
+    long mOffered;
+    long mRefused;
+    long mMessages;
+    long mBytes;
+    double mLoss;
+    double mDuplicates;
+    double mLongDelays;
+    boolean mSplit;
+    private long mOrder;
+
+    ShareSimulation(long seed) {
+        mRandom = new Random(seed);
+    }
+
+    Node add(String id, int domain, int slots, Configuration configuration) {
+        Node node = new Node(id, domain, configuration);
+        node.mSlots = slots;
+        mNodes.put(node.mId, node);
+        mNodes.values().stream().filter(other -> !other.mDead).forEach(node.mView::add);
+        mNodes.values().forEach(other -> other.mView.add(node));
+        at(mNow + mRandom.nextInt((int) (10 * MILLI)), () -> tickForever(node));
+        return node;
+    }
+
+    private void tickForever(Node node) {
+        if (!node.mDead) {
+            node.tick();
+            at(
+                    Math.max(mNow, node.mPausedUntil)
+                            + 8 * MILLI
+                            + mRandom.nextInt((int) (4 * MILLI)),
+                    () -> afterPause(node, () -> tickForever(node)));
+        }
+    }
+
+    void at(long time, Runnable action) {
+        mEvents.add(new Event(time, mOrder++, action));
+    }
+
+    void run(long until) {
+        while (!mEvents.isEmpty() && mEvents.peek().at() <= until) {
+            Event event = mEvents.poll();
+            mNow = Math.max(mNow, event.at());
+            event.action().run();
+        }
+        mNow = until;
+    }
+
+    void afterPause(Node node, Runnable action) {
+        if (node.mDead) {
+            return;
+        }
+        if (node.mPausedUntil > mNow) {
+            at(node.mPausedUntil, () -> afterPause(node, action));
+        } else {
+            action.run();
+        }
+    }
+
+    private void deliver(Node from, Node to, Runnable action) {
+        if (from == to) {
+            at(mNow, () -> afterPause(to, action));
+            return;
+        }
+        int copies = mRandom.nextDouble() < mDuplicates ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (mRandom.nextDouble() < mLoss) {
+                continue;
+            }
+            long delay = MILLI + mRandom.nextInt((int) (MILLI / 4));
+            if (mRandom.nextDouble() < mLongDelays) {
+                delay += (long) (mRandom.nextDouble() * 3_000 * MILLI);
+            }
+            at(
+                    mNow + delay,
+                    () -> {
+                        if (!mSplit || from.mDomain == to.mDomain) {
+                            afterPause(to, action);
+                        }
+                    });
+        }
+    }
+
+    private void measure(Node from, Node to, int bytes) {
+        if (from != to) {
+            mMessages++;
+            mBytes += bytes;
+        }
+    }
+
+    private void count(WorkspaceName workspace, Acquisition result) {
+        if (result instanceof Acquisition.Granted) {
+            mGranted.computeIfAbsent(workspace, key -> new ArrayList<>()).add(mNow);
+        } else {
+            mRefused++;
+        }
+    }
+
+    /** Returns by how much the worst window of a workspace exceeds its limit. */
+    double excess(WorkspaceName workspace, double rate, double burst, long from) {
+        LeakyBucketMeter meter = new LeakyBucketMeter(rate, burst);
+        mGranted.getOrDefault(workspace, List.of()).stream()
+                .filter(time -> time >= from)
+                .forEach(meter::granted);
+        return meter.excess();
+    }
+
+    // Sizes of the protobuf messages with the fields that plantainferry-network needs: tags, a
+    // fixed64 for each number, and the names.
+    private static int requestBytes(ShareRequest request) {
+        int bytes = 30 + request.instance().value().length();
+        for (ShareRequest.Share share : request.shares()) {
+            bytes += 6 + share.workspace().value().length();
+            bytes += share.depositedSlots() > 0 ? 2 : 0;
+            bytes += share.depositedTokens() > 0 ? 9 : 0;
+            bytes += share.demandPerSecond() > 0 ? 9 : 0;
+            bytes += share.level() > 0 ? 9 : 0;
+            bytes += share.waiting() > 0 ? 2 : 0;
+        }
+        return bytes;
+    }
+
+    private static int answerBytes(ShareAnswer answer) {
+        int bytes = 30;
+        for (ShareAnswer.Grant grant : answer.grants()) {
+            bytes += 4 + grant.workspace().value().length();
+            bytes += grant.ratePerSecond() > 0 ? 9 : 0;
+            bytes += grant.capacity() > 0 ? 9 : 0;
+            bytes += grant.tokens() > 0 ? 9 : 0;
+            bytes += 4;
+        }
+        return bytes;
+    }
+
+    private static long mix(long left, long right) {
+        long hash = (left * 0x9E3779B97F4A7C15L + right) * 0xBF58476D1CE4E5B9L;
+        return hash ^ (hash >>> 31);
+    }
+
+    static FailureDomain domain(int index) {
+        return new FailureDomain("zone-" + index);
+    }
+
+    static WorkspaceName workspace(int index) {
+        return new WorkspaceName("bench-" + index);
+    }
+
+    /** Returns a configuration in which all workspaces have the same limits. */
+    static Configuration configuration(
+            long version, int workspaces, double rate, double burst, int... slots) {
+        List<DomainShare> domains = new ArrayList<>();
+        for (int i = 0; i < slots.length; i++) {
+            domains.add(new DomainShare(domain(i), slots[i]));
+        }
+        List<Workspace> list = new ArrayList<>();
+        for (int i = 0; i < workspaces; i++) {
+            list.add(new Workspace(workspace(i), rate, burst, null, null, null, null));
+        }
+        return new Configuration(
+                version, null, new ConfigurationParts(domains, null, list, null, null));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareUtilisationTest.java
@@ -0,0 +1,138 @@
+package org.plantainferry.engine.limit;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.engine.limit.ShareSimulation.Node;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against refusals of requests that were inside their workspace's rate and burst. */
+public class ShareUtilisationTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long END = 61 * SECOND;
+
+    private record Fleet(ShareSimulation simulation, List<Node> nodes) {}
+
+    @DataProvider
+    public Object[][] loads() {
+        List<Object[]> rows = new ArrayList<>();
+        for (double[] limit : new double[][] {{100, 20}, {100, 100}, {1_000, 200}, {20, 5}}) {
+            for (double load : new double[] {0.5, 0.8, 0.95}) {
+                rows.add(new Object[] {limit[0], limit[1], load});
+            }
+        }
+        return rows.toArray(new Object[0][]);
+    }
+
+    @Test(dataProvider = "loads")
+    public void servesAllTrafficInsideTheRate(double rate, double burst, double load) {
+        double steady = wrongfulRefusals(rate, burst, load, END, 15);
+        double moving = wrongfulRefusals(rate, burst, load, 2 * SECOND, 15);
+        double spread = wrongfulRefusals(rate, burst, load, 0, 15);
+        System.out.printf(
+                "rate %.0f burst %.0f load %.0f%%: wrongful %.3f%% on one instance, %.3f%% moving,"
+                        + " %.3f%% spread%n",
+                rate, burst, 100 * load, 100 * steady, 100 * moving, 100 * spread);
+        assertTrue(steady < 0.001, "on one instance: " + steady);
+        assertTrue(moving < 0.001, "moving every 2 s: " + moving);
+    }
+
+    @Test
+    public void keepsThePartOfACutOffFailureDomain() {
+        Fleet fleet = fleet(1, 100, 20, 15, 1);
+        ShareSimulation simulation = fleet.simulation();
+        simulation.mSplit = true;
+        simulation.at(
+                5 * SECOND,
+                () ->
+                        fleet.nodes()
+                                .forEach(
+                                        node ->
+                                                node.mView.removeIf(
+                                                        other -> other.mDomain != node.mDomain)));
+        overload(fleet, 0, 300);
+        simulation.run(60 * SECOND);
+        long granted =
+                simulation.mGranted.get(ShareSimulation.workspace(0)).stream()
+                        .filter(time -> time > 10 * SECOND)
+                        .count();
+        System.out.printf("cut-off domain with 5 of 15 slots: %.1f/s of 100%n", granted / 50.0);
+        assertTrue(granted / 50.0 > 0.95 * 100 / 3, "granted " + granted);
+    }
+
+    @Test
+    public void keepsControlTrafficSmall() {
+        for (int workspaces : new int[] {16, 500}) {
+            Fleet fleet = fleet(1, 100, 20, 15, workspaces);
+            ShareSimulation simulation = fleet.simulation();
+            for (int w = 0; w < workspaces; w += 4) {
+                conforming(fleet, w, 100, 20, 0.5, 2 * SECOND);
+            }
+            simulation.run(21 * SECOND);
+            double share = 15 * 21.0;
+            System.out.printf(
+                    "%d workspaces, a quarter busy and moving: %.1f messages/s, %.1f KB/s each%n",
+                    workspaces, simulation.mMessages / share, simulation.mBytes / share / 1_000);
+            assertTrue(workspaces > 16 || simulation.mBytes / share < 12_000);
+        }
+    }
+
+    private static double wrongfulRefusals(
+            double rate, double burst, double load, long stay, int nodes) {
+        Fleet fleet = fleet(7, rate, burst, nodes, 1);
+        conforming(fleet, 0, rate, burst, load, stay);
+        fleet.simulation().run(END + SECOND);
+        double excess = fleet.simulation().excess(ShareSimulation.workspace(0), rate, burst, 0);
+        assertTrue(excess <= 1e-3, "excess " + excess);
+        return fleet.simulation().mRefused / (double) fleet.simulation().mOffered;
+    }
+
+    private static Fleet fleet(long seed, double rate, double burst, int nodes, int workspaces) {
+        ShareSimulation simulation = new ShareSimulation(seed);
+        Configuration configuration =
+                ShareSimulation.configuration(
+                        1, workspaces, rate, burst, nodes / 3, nodes / 3, nodes / 3);
+        List<Node> list = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            list.add(simulation.add("instance-" + i, i % 3, 1, configuration));
+        }
+        return new Fleet(simulation, list);
+    }
+
+    /** Offers random traffic from which an ideal bucket has removed all that it would refuse. */
+    private static void conforming(
+            Fleet fleet, int workspace, double rate, double burst, double load, long stay) {
+        LeakyBucketMeter ideal = new LeakyBucketMeter(rate, burst);
+        fleet.simulation().at(SECOND, () -> offer(fleet, workspace, ideal, load * rate, stay));
+    }
+
+    private static void offer(
+            Fleet fleet, int workspace, LeakyBucketMeter ideal, double perSecond, long stay) {
+        ShareSimulation simulation = fleet.simulation();
+        if (simulation.mNow >= END) {
+            return;
+        }
+        int index =
+                stay == 0
+                        ? simulation.mRandom.nextInt(fleet.nodes().size())
+                        : (int) ((simulation.mNow / stay * 7 + workspace) % fleet.nodes().size());
+        if (ideal.offer(simulation.mNow)) {
+            fleet.nodes().get(index).arrive(ShareSimulation.workspace(workspace));
+        }
+        double wait = -Math.log(1 - simulation.mRandom.nextDouble()) / perSecond;
+        simulation.at(
+                simulation.mNow + (long) (wait * SECOND),
+                () -> offer(fleet, workspace, ideal, perSecond, stay));
+    }
+
+    private static void overload(Fleet fleet, int index, double perSecond) {
+        fleet.nodes().get(index).arrive(ShareSimulation.workspace(0));
+        fleet.simulation()
+                .at(
+                        fleet.simulation().mNow + (long) (SECOND / perSecond),
+                        () -> overload(fleet, index, perSecond));
+    }
+}
