--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -166,12 +166,17 @@
         return tokens - mGrantTokens;
     }
 
-    /** Ends the wait for tokens; a fruitless ask delays the next one, longer each time. */
+    /**
+     * Ends the wait for tokens, if there is one.
+     *
+     * @param fruitful whether tokens came; a fruitless ask delays the next one, longer each time
+     */
     public synchronized void endAsk(long nowNanos, boolean fruitful) {
         advance(nowNanos);
-        if (mNow - mWaitUntil < 0) {
-            mWaitUntil = mNow;
+        if (mWaiting == 0) {
+            return;
         }
+        mWaitUntil = mNow;
         mAskWanted = false;
         mWaiting = 0;
         mBackoff = fruitful ? FIRST_BACKOFF : Math.min(LONGEST_BACKOFF, mBackoff * 2);
