--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -22,7 +22,6 @@
     private boolean mLeaving;
     private long mLeavingAt;
     private double mTokensToReturn;
-    private boolean mAskSent;
 
     HeldShare(long nowNanos, WorkspaceName name) {
         mName = name;
@@ -97,21 +96,20 @@
         }
         double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
         mTokensToReturn = 0;
-        mAskSent = mBucket.isStarving();
         return new ShareRequest.Share(
                 mName,
                 depositedSlots,
                 depositedSlots > 0 || tokens > 0 ? tokens : 0,
                 mBucket.demandPerSecond(nowNanos),
                 mBucket.grantTokens(nowNanos),
-                mAskSent);
+                mBucket.waiting());
     }
 
     /** Returns whether this instance needs the allocator for the workspace. */
     boolean isInterested(long nowNanos, int usableSlots) {
         return usableSlots > 0
                 || mTokensToReturn > 0
-                || mBucket.isStarving()
+                || mBucket.waiting() > 0
                 || mBucket.hasGrant(nowNanos)
                 || mBucket.demandPerSecond(nowNanos) > 0;
     }
@@ -126,10 +124,7 @@
                         grant.tokens(),
                         sentAt + grant.validNanos());
         boolean fruitful = mBucket.tokens(nowNanos) >= 1;
-        // The answer to a request that did not ask says nothing about an ask: an idle instance is
-        // granted nothing, and its next caller must still be able to ask at once.
-        if (mAskSent && (fruitful || !grant.moreSoon())) {
-            mAskSent = false;
+        if (fruitful || !grant.moreSoon()) {
             mBucket.endAsk(nowNanos, fruitful);
         }
         return mTokensToReturn >= 1;
