--- /dev/null
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
@@ -0,0 +1,238 @@
+package org.plantainferry.verification.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.WorkspaceName;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.api.configuration.ReleaseNote;
+import org.plantainferry.api.configuration.WithdrawnParts;
+import org.plantainferry.verification.daemon.LocalFleet.Answer;
+import org.plantainferry.verification.standin.group.LogEntry;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Guards the whole path from caller to target through real listeners and connections. */
+public class EndToEndTest {
+    private static final String SESSION = "Plantainferry-Session";
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final String TRANSACTIONS = "/v1/services/ledger/transactions";
+
+    private LocalFleet mFleet;
+
+    @BeforeClass
+    public void startFleet() throws IOException, InterruptedException {
+        mFleet = new LocalFleet("como-a", "como-a", "lecco-a");
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void closeFleet() {
+        if (mFleet != null) {
+            mFleet.close();
+        }
+    }
+
+    @Test
+    public void readsOwnWriteThroughAnyInstance() {
+        for (int round = 0; round < 50; round++) {
+            Answer written = mFleet.write(round % 3, "PUT rib " + round);
+            assertTrue(written.isResult(), written.toString());
+            Answer read =
+                    mFleet.read((round + 1) % 3, "rib", SESSION, written.session().orElseThrow());
+            assertTrue(read.body().contains("\"result\":\"" + round + "\""), read.toString());
+        }
+    }
+
+    @Test
+    public void servesMostReadsFromReplicas() {
+        int replicas = 0;
+        for (int round = 0; round < 100; round++) {
+            replicas += mFleet.read(round % 3, "rib").body().contains("\"replica\"") ? 1 : 0;
+        }
+        assertTrue(replicas >= 90, replicas + " of 100 reads at replicas");
+    }
+
+    @Test
+    public void runsTheStatementsOfATransactionThroughOtherInstances() {
+        String path = TRANSACTIONS + "/" + begin(0);
+        Answer first = statementIn(path, 1, "ADD ferrules 5");
+        assertTrue(first.isResult(), first.toString());
+        Answer second = statementIn(path, 2, "ADD ferrules 2");
+        assertTrue(second.body().contains("\"result\":\"7\""), second.toString());
+        Answer outside = mFleet.read(0, "ferrules");
+        assertTrue(outside.body().contains("\"result\":null"), outside.toString());
+        Answer committed = mFleet.post(2, path + "/commit", "");
+        assertTrue(committed.isResult(), committed.toString());
+        Answer after = mFleet.read(1, "ferrules", SESSION, committed.session().orElseThrow());
+        assertTrue(after.body().contains("\"result\":\"7\""), after.toString());
+        Answer again = mFleet.post(2, path + "/rollback", "");
+        assertTrue(again.body().contains("TRANSACTION_LOST"), again.toString());
+    }
+
+    @Test
+    public void keepsATransactionFromOtherWorkspaces() {
+        String path = TRANSACTIONS + "/" + begin(0);
+        Answer foreign =
+                mFleet.post(
+                        0, path + "/commit", "", "Authorization", "Bearer " + LocalFleet.OTHER_KEY);
+        assertTrue(foreign.body().contains("TRANSACTION_LOST"), foreign.toString());
+        assertTrue(mFleet.post(0, path + "/rollback", "").isResult());
+    }
+
+    @Test
+    public void answersARepeatedIdempotencyKeyWithoutRunningAgain() {
+        Answer first = mFleet.write(0, "ADD tickets 1", IDEMPOTENCY_KEY, "ticket-1");
+        Answer repeated = mFleet.write(2, "ADD tickets 1", IDEMPOTENCY_KEY, "ticket-1");
+        assertTrue(first.body().contains("\"result\":\"1\""), first.toString());
+        assertTrue(repeated.body().contains("\"result\":\"1\""), repeated.toString());
+    }
+
+    @Test
+    public void refusesBadRequestsWithCodePlaceAndVerdict() {
+        String path = "/v1/services/ledger/statements";
+        assertRefused(mFleet.post(0, path, "{"), "REQUEST_MALFORMED", "body");
+        assertRefused(
+                mFleet.post(0, path, "{\"statement\": \"GET a\", \"kind\": \"read\", \"x\": 1}"),
+                "REQUEST_MALFORMED",
+                "x");
+        assertRefused(
+                mFleet.read(0, "a", "Plantainferry-Deadline-Millis", "soon"),
+                "REQUEST_MALFORMED",
+                "Plantainferry-Deadline-Millis");
+        assertRefused(
+                mFleet.read(0, "a", SESSION, "AAAA"), "SESSION_TOKEN_INVALID", "session token");
+        assertRefused(mFleet.write(0, "SHRED a"), "STATEMENT_INVALID", "");
+        assertRefused(mFleet.read(0, "a", "Authorization", "Bearer nobody"), "KEY_INVALID", "");
+        assertRefused(mFleet.post(0, "/v1/services/none/statements", "{}"), "SERVICE", "");
+        assertRefused(mFleet.post(0, "/v2", "{}"), "NOT_FOUND", "/v2");
+        String large = "{\"statement\": \"PUT a " + "x".repeat(70_000) + "\", \"kind\": \"write\"}";
+        assertRefused(mFleet.post(0, path, large), "BODY_TOO_LARGE", "");
+    }
+
+    @Test
+    public void refusesASessionTokenOfAnotherWorkspace() {
+        Answer written = mFleet.write(0, "PUT own 1");
+        Answer read =
+                mFleet.read(
+                        0,
+                        "own",
+                        SESSION,
+                        written.session().orElseThrow(),
+                        "Authorization",
+                        "Bearer " + LocalFleet.OTHER_KEY);
+        assertRefused(read, "SESSION_TOKEN_INVALID", "another workspace");
+    }
+
+    @Test
+    public void servesOpenRoutesWithoutAKeyForTheirPrefixOnly() {
+        Answer read =
+                mFleet.post(
+                        0, "/v1/open/public", "{\"statement\": \"GET x\"}", "Authorization", "x");
+        assertTrue(read.isResult(), read.toString());
+        Answer write = mFleet.post(0, "/v1/open/public", "{\"statement\": \"PUT x 1\"}");
+        assertRefused(write, "REQUEST_MALFORMED", "GET ");
+    }
+
+    @Test(dependsOnMethods = "readsOwnWriteThroughAnyInstance")
+    public void replacesAStoppedPrimaryAndKeepsWhatWasAcknowledged() throws InterruptedException {
+        List<String> acknowledged = new ArrayList<>();
+        for (int number = 0; number < 20; number++) {
+            assertTrue(mFleet.write(0, "PUT before-" + number + " 1").isResult());
+            acknowledged.add("PUT before-" + number + " 1");
+        }
+        String primary = primary();
+        long stopped = System.nanoTime();
+        mFleet.group().stop(primary);
+        Optional<Answer> first = Optional.empty();
+        while (first.isEmpty() && System.nanoTime() - stopped < TimeUnit.SECONDS.toNanos(20)) {
+            Answer answer = mFleet.write(1, "PUT after 1");
+            first = answer.isResult() ? Optional.of(answer) : first;
+        }
+        long gapMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopped);
+        assertTrue(first.isPresent(), "no write was acknowledged within 20 s");
+        assertTrue(gapMillis <= 5_000, "the gap was " + gapMillis + " ms");
+        List<String> log = mFleet.group().log(primary()).stream().map(LogEntry::statement).toList();
+        assertTrue(log.containsAll(acknowledged), "an acknowledged write is missing");
+        mFleet.group().start(primary);
+        LocalFleet.await(
+                "the returned server to follow",
+                () -> mFleet.group().log(primary).equals(mFleet.group().log(primary())));
+        assertEquals(mFleet.group().failure(), Optional.empty());
+    }
+
+    @Test(dependsOnMethods = "replacesAStoppedPrimaryAndKeepsWhatWasAcknowledged")
+    public void servesOnDuringAStoreOutage() throws InterruptedException {
+        mFleet.store().setOutage(true);
+        try {
+            int refused = 0;
+            long start = System.nanoTime();
+            while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(12)) {
+                refused += mFleet.write(0, "PUT outage 1").isResult() ? 0 : 1;
+                refused += mFleet.read(2, "outage").isResult() ? 0 : 1;
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertEquals(refused, 0, "refused during the outage");
+        } finally {
+            mFleet.store().setOutage(false);
+        }
+    }
+
+    @Test(dependsOnMethods = "servesOnDuringAStoreOutage")
+    public void stopsAWithdrawnKeyAlsoInAnOpenTransaction() throws Exception {
+        String path = TRANSACTIONS + "/" + begin(1);
+        assertTrue(statementIn(path, 0, "PUT withdrawn 1").isResult());
+        Configuration current = mFleet.currentConfiguration();
+        WithdrawnParts withdrawn =
+                new WithdrawnParts(
+                        null,
+                        null,
+                        null,
+                        null,
+                        List.of(new WithdrawnParts.KeyReference(new WorkspaceName("bench"), "k1")));
+        mFleet.store(
+                current.apply(
+                        new ReleaseNote("withdraw", current.version(), null, null, withdrawn)));
+        TimeUnit.SECONDS.sleep(5);
+        assertRefused(mFleet.read(0, "rib"), "KEY_INVALID", "");
+        assertRefused(mFleet.post(2, path + "/commit", ""), "KEY_INVALID", "");
+        boolean applied =
+                mFleet.group().log(primary()).stream()
+                        .anyMatch(entry -> entry.statement().contains("withdrawn"));
+        assertTrue(!applied, "the transaction of a withdrawn key was committed");
+        assertEquals(mFleet.group().violationCount(), 0, "requests that carried a key");
+    }
+
+    private String begin(int instance) {
+        Answer begun = mFleet.post(instance, TRANSACTIONS, "");
+        assertTrue(begun.isResult(), begun.toString());
+        return begun.body().replaceAll(".*\"transaction\":\"([^\"]+)\".*", "$1");
+    }
+
+    private Answer statementIn(String path, int instance, String statement) {
+        String body = "{\"statement\": \"" + statement + "\", \"kind\": \"write\"}";
+        return mFleet.post(instance, path + "/statements", body);
+    }
+
+    private String primary() {
+        Answer answer = mFleet.write(2, "PUT probe 1", "Authorization", bearerOfOther());
+        assertTrue(answer.isResult(), answer.toString());
+        return answer.body().replaceAll(".*\"server\":\"([^\"]+)\".*", "$1");
+    }
+
+    private static String bearerOfOther() {
+        return "Bearer " + LocalFleet.OTHER_KEY;
+    }
+
+    private static void assertRefused(Answer answer, String code, String place) {
+        assertTrue(!answer.isResult(), answer.toString());
+        assertTrue(answer.body().contains("\"code\":\"" + code), answer.toString());
+        assertTrue(answer.body().contains(place), answer.toString());
+        assertEquals(answer.verdict(), "NOT_RUN", answer.toString());
+    }
+}
