Keep no reserve for a sole borrower and lend slow ones single tokens

A reserve made the burst of a sole borrower smaller, and tokens spread over many slow borrowers were missing where the next request arrived.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
@@ -13,6 +13,10 @@
 
     private static final double SCARCE = 3;
 
+    // Below this rate an ask for each request costs little, and tokens spread over many buckets
+    // would be missing where the next request arrives.
+    private static final double SLOW = 15;
+
     private final Map<InstanceId, Double> mRates = new HashMap<>();
     private final double mTotalRate;
     private final double mTotalCapacity;
@@ -26,8 +30,6 @@
             int slots,
             double reservePart) {
         mTotalRate = slots * terms.ratePerSecond();
-        mReserve = slots * terms.capacity() * reservePart;
-        mTotalCapacity = slots * terms.capacity() - mReserve;
         Map<InstanceId, Double> wants = new HashMap<>();
         borrowers.forEach(
                 (instance, share) -> {
@@ -36,6 +38,10 @@
                     }
                 });
         mActive = wants.size();
+        // Without competition a reserve would only make the burst smaller; a second borrower gets
+        // its tokens by a recall.
+        mReserve = mActive > 1 ? slots * terms.capacity() * reservePart : 0;
+        mTotalCapacity = slots * terms.capacity() - mReserve;
         // A starving borrower's smoothed demand lags behind, so it counts as an equal part.
         wants.replaceAll(
                 (instance, want) ->
@@ -88,7 +94,9 @@
 
     /** Returns whether the part is so small that tokens are better lent one by one. */
     boolean isScarce(InstanceId instance) {
-        return mActive > 1 && mRates.containsKey(instance) && capacity(instance) < SCARCE;
+        return mActive > 1
+                && mRates.containsKey(instance)
+                && (capacity(instance) < SCARCE || rate(instance) < SLOW);
     }
 
     double reserve() {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -108,7 +108,7 @@
         double free = freeCapacity(slots, ownCapacity);
         double tokens = Math.min(Math.max(0, share.waiting() - level), mPool);
         tokens = Math.max(0, Math.min(tokens, free - ownCapacity));
-        if (level + tokens < 1) {
+        if (share.waiting() == 0 || level + tokens < 1) {
             tokens = 0;
             level = 0;
         }
