Ask an allocator for callers that began to wait after a request left

Cause: the answer to a share request that left before a caller began to wait ended that caller's wait as fruitless, and the caller was refused although the workspace was far inside its rate. Change: an answer ends only the waits that its request told of.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
@@ -142,7 +142,7 @@
                             .setDepositedTokens(share.depositedTokens())
                             .setDemandPerSecond(share.demandPerSecond())
                             .setLevel(share.level())
-                            .setStarving(share.starving()));
+                            .setWaiting(share.waiting()));
         }
         return builder.build();
     }
@@ -163,7 +163,7 @@
                 message.getDepositedTokens(),
                 message.getDemandPerSecond(),
                 message.getLevel(),
-                message.getStarving());
+                message.getWaiting());
     }
 
     static org.plantainferry.network.peer.generated.ShareAnswer write(ShareAnswer answer) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -22,6 +22,7 @@
     private boolean mLeaving;
     private long mLeavingAt;
     private double mTokensToReturn;
+    private boolean mAskSent;
 
     HeldShare(long nowNanos, WorkspaceName name) {
         mName = name;
@@ -96,13 +97,15 @@
         }
         double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
         mTokensToReturn = 0;
+        int waiting = mBucket.waiting();
+        mAskSent = waiting > 0;
         return new ShareRequest.Share(
                 mName,
                 depositedSlots,
                 depositedSlots > 0 || tokens > 0 ? tokens : 0,
                 mBucket.demandPerSecond(nowNanos),
                 mBucket.grantTokens(nowNanos),
-                mBucket.waiting());
+                waiting);
     }
 
     /** Returns whether this instance needs the allocator for the workspace. */
@@ -124,7 +127,9 @@
                         grant.tokens(),
                         sentAt + grant.validNanos());
         boolean fruitful = mBucket.tokens(nowNanos) >= 1;
-        if (fruitful || !grant.moreSoon()) {
+        // A caller that began to wait after the request left has not been asked for yet.
+        if (mAskSent && (fruitful || !grant.moreSoon())) {
+            mAskSent = false;
             mBucket.endAsk(nowNanos, fruitful);
         }
         return mTokensToReturn >= 1;
