--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/FairQueue.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/FairQueue.java
@@ -100,40 +100,44 @@
         if (mSize >= mTotalLimit) {
             displaced = displaceFor(workspace);
             if (displaced.isEmpty()) {
-                return refused(
-                        OfferResult.Reason.TOTAL_LIMIT, mInterval.nanos(nowNanos, mSize > 0));
+                return refused(OfferResult.Reason.TOTAL_LIMIT, mInterval.untilNextNanos(nowNanos));
             }
         }
         add(workspace, request, deadlineNanos, nowNanos);
         return new OfferResult.Queued<>(displaced);
     }
 
+    /** Takes out the next request that has not expired. */
+    public Optional<T> poll(long nowNanos) {
+        return poll(nowNanos, request -> true);
+    }
+
     /**
-     * Takes out the next request that has not expired.
+     * Takes out the next request that has not expired and that matches.
      *
-     * <p>Expired requests met on the way are returned by the next {@link #removeExpired}.
+     * <p>A server that has room takes only what it can serve; writes that wait for a primary do not
+     * hold up the reads behind them. Expired requests met on the way are returned by the next
+     * {@link #removeExpired}.
      */
-    public Optional<T> poll(long nowNanos) {
-        while (!mActive.isEmpty()) {
+    public Optional<T> poll(long nowNanos, Predicate<? super T> condition) {
+        Preconditions.notNull(condition, "condition");
+        List<Lane<T>> skipped = new ArrayList<>();
+        Optional<T> taken = Optional.empty();
+        while (taken.isEmpty() && !mActive.isEmpty()) {
             Lane<T> lane = mActive.poll();
-            Lane.Entry<T> head = lane.peek();
-            if (head.isExpired(nowNanos)) {
-                lane.dropHead();
+            mSize -= lane.dropExpiredHeads(nowNanos, mExpired);
+            double finish = lane.headFinish();
+            taken = lane.serveFirst(e -> !e.isExpired(nowNanos) && condition.test(e.request()));
+            if (taken.isPresent()) {
+                mVirtualTime = Math.max(mVirtualTime, finish);
                 mSize--;
-                mExpired.add(head.request());
-                activate(lane);
-                continue;
+                mInterval.onServed(nowNanos, mSize > 0);
             }
-            mVirtualTime = Math.max(mVirtualTime, lane.headFinish());
-            lane.serveHead();
-            mSize--;
-            activate(lane);
-            mInterval.onServed(nowNanos, mSize > 0);
-            forgetIdleLanes();
-            return Optional.of(head.request());
+            skipped.add(lane);
         }
-        forgetIdleLanes();
-        return Optional.empty();
+        skipped.forEach(this::activate);
+        resetIfEmpty();
+        return taken;
     }
 
     /** Takes out all requests whose deadline has passed, for an answer to their callers. */
@@ -164,7 +168,7 @@
         for (Lane<T> lane : mActive) {
             before += lane.countUntil(finish);
         }
-        return before * mInterval.nanos(nowNanos, true);
+        return before * mInterval.nanos() + mInterval.untilNextNanos(nowNanos);
     }
 
     /** Returns the number of waiting requests. */
@@ -222,7 +226,7 @@
             mSize -= lane.removeIf(condition, removed);
             activate(lane);
         }
-        forgetIdleLanes();
+        resetIfEmpty();
     }
 
     private void activate(Lane<T> lane) {
@@ -231,10 +235,11 @@
         }
     }
 
-    private void forgetIdleLanes() {
+    private void resetIfEmpty() {
         if (mSize > 0) {
             return;
         }
+        mInterval.onIdle();
         mLanes.clear();
         mVirtualTime = 0;
     }
@@ -249,7 +254,7 @@
             activeWeight += active.weight();
         }
         double share = activeWeight / lane.weight();
-        return (long) (mInterval.nanos(nowNanos, true) * Math.max(1, share));
+        return (long) (mInterval.untilNextNanos(nowNanos) * Math.max(1, share));
     }
 
     private static <T> OfferResult<T> refused(OfferResult.Reason reason, long afterNanos) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/Lane.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/Lane.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.plantainferry.api.WorkspaceName;
 
@@ -78,19 +79,27 @@
         mEntries.addLast(entry);
     }
 
-    Entry<T> peek() {
-        return mEntries.getFirst();
-    }
-
-    /** Removes the head and charges its cost to the workspace. */
-    void serveHead() {
-        mStart = headFinish();
-        mEntries.removeFirst();
+    /** Removes the first request that matches and charges its cost to the workspace. */
+    Optional<T> serveFirst(Predicate<Entry<T>> condition) {
+        for (Iterator<Entry<T>> i = mEntries.iterator(); i.hasNext(); ) {
+            Entry<T> entry = i.next();
+            if (condition.test(entry)) {
+                i.remove();
+                mStart = headFinish();
+                return Optional.of(entry.request());
+            }
+        }
+        return Optional.empty();
     }
 
-    /** Removes the head without charging for it. */
-    void dropHead() {
-        mEntries.removeFirst();
+    /** Removes expired requests at the head without charging for them; returns their number. */
+    int dropExpiredHeads(long nowNanos, List<T> expired) {
+        int count = 0;
+        while (!mEntries.isEmpty() && mEntries.getFirst().isExpired(nowNanos)) {
+            expired.add(mEntries.removeFirst().request());
+            count++;
+        }
+        return count;
     }
 
     Entry<T> removeLast() {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryBudget.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryBudget.java
@@ -5,8 +5,9 @@
 /**
  * Limits the repeats of a service, so that repeats do not multiply the load of a failing target.
  *
- * <p>In any window of about 10 s the repeats are at most 10% of the requests of that window plus
- * 10. The window moves in steps of 1 s and holds the step that has begun plus the 10 before it.
+ * <p>A repeat is granted only while the repeats of the last 10 s, itself included, are at most 10%
+ * of the requests of that time plus 10. The window moves in steps of 1 s and holds the step that
+ * has begun plus the 10 before it.
  *
  * @since 0.1
  */
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
@@ -156,6 +156,7 @@
             mHistory.clear();
             mTerm = term;
             mPrimary = Optional.empty();
+            mServers.values().forEach(ServerEstimate::resetProbes);
         }
         if (mPrimary.isEmpty()) {
             mPrimary = primary.filter(mServers::containsKey);
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ReadRouter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ReadRouter.java
@@ -25,6 +25,9 @@
     /** Part of the deadline that a read may wait for a replica. */
     private static final int WAIT_DIVISOR = 4;
 
+    /** A read that no server can take asks again after this time. */
+    private static final long POLL_NANOS = 25 * NANOS_PER_MILLI;
+
     /** Keeps a read from asking again at once when the estimated catch-up time is almost over. */
     private static final long MINIMUM_WAIT_NANOS = NANOS_PER_MILLI;
 
@@ -101,7 +104,13 @@
                 return use(server, requirement, RouteReason.PROBE);
             }
         }
-        return use(cheapest(eligible, load, nowNanos), requirement, RouteReason.ELIGIBLE_REPLICA);
+        // When no server has room the request queues for the cheapest one.
+        List<ServerEstimate> free =
+                eligible.stream().filter(server -> load.hasRoom(server.server())).toList();
+        return use(
+                cheapest(free.isEmpty() ? eligible : free, load, nowNanos),
+                requirement,
+                RouteReason.ELIGIBLE_REPLICA);
     }
 
     private ServerEstimate cheapest(List<ServerEstimate> servers, ServerLoad load, long nowNanos) {
@@ -170,10 +179,19 @@
         }
         return Availability.unknownServer(view, excluded, nowNanos)
                 .<RoutingDecision>map(server -> use(server, requirement, RouteReason.PROBE))
-                .orElseGet(
-                        () ->
-                                new RoutingDecision.Unavailable(
-                                        Availability.retryAfterMillis(view, nowNanos)));
+                .orElseGet(() -> waitOrRefuse(requirement, view, nowNanos));
+    }
+
+    /** Waits for the end of a backoff or for a new primary within a quarter of the deadline. */
+    private static RoutingDecision waitOrRefuse(
+            ReadRequirement requirement, GroupView view, long nowNanos) {
+        long waited = requirement.waitedNanos();
+        long remaining = requirement.deadlineNanos() - nowNanos;
+        long allowed = (remaining + waited) / WAIT_DIVISOR - waited;
+        if (allowed <= 0) {
+            return new RoutingDecision.Unavailable(Availability.retryAfterMillis(view, nowNanos));
+        }
+        return new RoutingDecision.WaitForPrimary(Math.min(POLL_NANOS, allowed));
     }
 
     private static RoutingDecision use(
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerEstimate.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerEstimate.java
@@ -105,7 +105,7 @@
             OptionalLong reachedNanos,
             long nowNanos) {
         long lagNanos = observation.lagMillis() * NANOS_PER_MILLI;
-        long delay = mObservation == null ? lagNanos : delayNanos(nowNanos);
+        long delay = delayNanos(nowNanos);
         if (reachedNanos.isPresent()) {
             delay = Math.min(delay, reachedNanos.getAsLong());
         }
@@ -113,7 +113,8 @@
             delay = Math.max(delay, behindNanos.getAsLong());
         }
         mObservation = observation;
-        mDelayNanos = delay;
+        // The reported lag also counts writes that this instance has not heard of.
+        mDelayNanos = Math.max(delay, lagNanos);
         mAnsweredAtNanos = nowNanos;
         mFailures = 0;
         mHasNextAttempt = false;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerLoad.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerLoad.java
@@ -11,4 +11,9 @@
 public interface ServerLoad {
     /** Returns the number of requests sent to the server and not answered yet. */
     int inFlight(ServerId server);
+
+    /** Returns whether the server takes one more request now, by its concurrency limit. */
+    default boolean hasRoom(ServerId server) {
+        return true;
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/WriteRouter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/WriteRouter.java
@@ -23,10 +23,17 @@
     /** After this time without a primary (the aim's maximum) writes no longer wait. */
     private static final long MAXIMUM_GAP_NANOS = 5_000 * NANOS_PER_MILLI;
 
+    /** Without a write for this time, the next one that finds no primary begins a new gap. */
+    private static final long FORGET_GAP_NANOS = 2_000 * NANOS_PER_MILLI;
+
     private static final long LONG_OUTAGE_RETRY_MILLIS = 1_000;
 
+    /** Part of the deadline that a write may wait for a primary. */
+    private static final int WAIT_DIVISOR = 2;
+
     private boolean mAbsent;
     private long mAbsentSinceNanos;
+    private long mAskedAtNanos;
 
     /** Creates a router for a group. */
     public WriteRouter() {}
@@ -34,40 +41,45 @@
     /**
      * Returns what to do with a write now.
      *
-     * <p>A write waits only when the primary is expected within half of the remaining time, so that
-     * a refusal never comes close to the deadline.
+     * <p>A write waits for at most half of its deadline, and only when the primary is expected
+     * within half of the time that is left; so no refusal comes close to the deadline.
      *
-     * @param minimumTerm the term of the session token; 0 for none
      * @param excluded servers that refused this write
-     * @param deadlineNanos the monotonic time at which the caller stops waiting
      */
     public RoutingDecision choose(
-            GroupView view,
-            long minimumTerm,
-            Set<ServerId> excluded,
-            long deadlineNanos,
-            long nowNanos) {
+            WriteRequirement requirement, GroupView view, Set<ServerId> excluded, long nowNanos) {
+        view.learnPrimary(requirement.minimumTerm(), Optional.empty());
         Optional<ServerEstimate> primary =
-                Availability.usablePrimary(view, minimumTerm, excluded, nowNanos);
-        if (primary.isPresent()) {
-            if (primary.get().failures() == 0) {
-                mAbsent = false;
-            }
+                Availability.usablePrimary(view, requirement.minimumTerm(), excluded, nowNanos);
+        long absent = absentNanos(primary, nowNanos);
+        long remaining = requirement.deadlineNanos() - nowNanos;
+        long expected = Math.max(OVERDUE_NANOS, Availability.USUAL_REPLACEMENT_NANOS - absent);
+        if (primary.isPresent() && remaining > 0) {
             Availability.claimIfFailing(primary.get(), nowNanos);
             return new RoutingDecision.UseServer(primary.get().server(), 0, RouteReason.PRIMARY);
         }
-        if (!mAbsent) {
-            mAbsent = true;
-            mAbsentSinceNanos = nowNanos;
-        }
-        long absent = nowNanos - mAbsentSinceNanos;
         if (absent > MAXIMUM_GAP_NANOS) {
             return new RoutingDecision.Unavailable(LONG_OUTAGE_RETRY_MILLIS);
         }
-        long expected = Math.max(OVERDUE_NANOS, Availability.USUAL_REPLACEMENT_NANOS - absent);
-        if (expected > (deadlineNanos - nowNanos) / 2) {
+        long waited = requirement.waitedNanos();
+        long allowed = (remaining + waited) / WAIT_DIVISOR - waited;
+        if (allowed <= 0 || expected > remaining / 2) {
             return new RoutingDecision.Unavailable(expected / NANOS_PER_MILLI);
         }
-        return new RoutingDecision.WaitForPrimary(POLL_NANOS);
+        return new RoutingDecision.WaitForPrimary(Math.min(POLL_NANOS, allowed));
+    }
+
+    private long absentNanos(Optional<ServerEstimate> primary, long nowNanos) {
+        boolean forgotten = nowNanos - mAskedAtNanos > FORGET_GAP_NANOS;
+        mAskedAtNanos = nowNanos;
+        if (primary.filter(server -> server.failures() == 0).isPresent()) {
+            mAbsent = false;
+            return 0;
+        }
+        if (!mAbsent || forgotten) {
+            mAbsent = true;
+            mAbsentSinceNanos = nowNanos;
+        }
+        return nowNanos - mAbsentSinceNanos;
     }
 }
