--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
@@ -94,7 +94,7 @@
     }
 
     /**
-     * Records a refusal, which tells neither the role nor the lag.
+     * Records a refusal, which tells neither the role nor the lag; both are kept as known.
      *
      * @param leaving whether the server refused because it is leaving
      * @param notPrimary whether it refused because it is not the primary
@@ -120,7 +120,12 @@
         }
         observe(
                 new ServerObservation(
-                        server, role, term, position, 0, leaving || estimate.isLeaving()),
+                        server,
+                        role,
+                        term,
+                        position,
+                        estimate.lagMillis(nowNanos),
+                        leaving || estimate.isLeaving()),
                 nowNanos);
     }
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/GroupViewTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/GroupViewTest.java
@@ -47,6 +47,15 @@
         assertTrue(!view.isLeaving(B));
     }
 
+    /** A refusal does not tell the lag, so it must not make old data look fresh. */
+    @Test
+    public void keepsLagAfterRefusal() {
+        GroupView view = Groups.settled();
+        view.observe(Groups.replica(B, 1, 90, 800), MILLI);
+        view.observeRefusal(B, 1, 90, false, false, 2 * MILLI);
+        assertTrue(view.estimatedLagMillis(B, 3 * MILLI) > 700);
+    }
+
     /** A refusal "not primary" in the same term must end the use of that server for writes. */
     @Test
     public void forgetsPrimaryThatDeniesItsRole() {
