Spare hurried reads from probes and let a concurrency limit be resized

A read that probes a failed replica may have to move on to another one, so only reads with a second left are used. The share of a server changes with the number of instances; the limit follows without losing count of the requests in flight.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ConcurrencyLimit.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ConcurrencyLimit.java
@@ -35,7 +35,7 @@
     /** The least latency is measured anew after this time, since the kind of load changes. */
     private static final long BASELINE_NANOS = 30_000_000_000L;
 
-    private final double mMaximum;
+    private double mMaximum;
     private double mLimit;
     private int mInFlight;
     private double mMeanNanos;
@@ -57,6 +57,13 @@
         mLimit = maximum;
     }
 
+    /** Takes over another maximum; requests in flight beyond it end in their own time. */
+    public void setMaximum(int maximum) {
+        Preconditions.condition(maximum >= 1, "maximum must be at least 1: " + maximum);
+        mMaximum = maximum;
+        mLimit = Math.min(mLimit, maximum);
+    }
+
     /** Takes a place in flight, or returns false when all are taken. */
     public boolean tryAcquire() {
         if (mInFlight >= limit()) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ReadRouter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ReadRouter.java
@@ -25,6 +25,9 @@
     /** Part of the deadline that a read may wait for a replica. */
     private static final int WAIT_DIVISOR = 4;
 
+    /** Only a read with this much time left probes a failed server, as it may have to move on. */
+    private static final long PROBE_REMAINING_NANOS = 1_000 * NANOS_PER_MILLI;
+
     /** A read that no server can take asks again after this time. */
     private static final long POLL_NANOS = 25 * NANOS_PER_MILLI;
 
@@ -98,17 +101,20 @@
             List<ServerEstimate> eligible,
             ServerLoad load,
             long nowNanos) {
-        for (ServerEstimate server : eligible) {
-            if (server.failures() > 0) {
-                server.claimAttempt(nowNanos);
-                return use(server, requirement, RouteReason.PROBE);
-            }
+        List<ServerEstimate> healthy =
+                eligible.stream().filter(server -> server.failures() == 0).toList();
+        boolean timeToProbe = requirement.deadlineNanos() - nowNanos >= PROBE_REMAINING_NANOS;
+        if (healthy.size() < eligible.size() && (timeToProbe || healthy.isEmpty())) {
+            ServerEstimate failing =
+                    eligible.stream().filter(s -> s.failures() > 0).findFirst().orElseThrow();
+            failing.claimAttempt(nowNanos);
+            return use(failing, requirement, RouteReason.PROBE);
         }
         // When no server has room the request queues for the cheapest one.
         List<ServerEstimate> free =
-                eligible.stream().filter(server -> load.hasRoom(server.server())).toList();
+                healthy.stream().filter(server -> load.hasRoom(server.server())).toList();
         return use(
-                cheapest(free.isEmpty() ? eligible : free, load, nowNanos),
+                cheapest(free.isEmpty() ? healthy : free, load, nowNanos),
                 requirement,
                 RouteReason.ELIGIBLE_REPLICA);
     }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/admission/ConcurrencyLimitTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/admission/ConcurrencyLimitTest.java
@@ -46,6 +46,26 @@
         assertEquals(limit.limit(), 8);
     }
 
+    /** A smaller share must hold at once for new requests, and a larger one must be reached. */
+    @Test
+    public void followsChangedMaximum() {
+        ConcurrencyLimit limit = new ConcurrencyLimit(4);
+        for (int i = 0; i < 4; i++) {
+            limit.tryAcquire();
+        }
+        limit.setMaximum(2);
+        limit.release(Outcome.ANSWERED, MILLI, 0);
+        limit.release(Outcome.ANSWERED, MILLI, 0);
+        assertFalse(limit.tryAcquire());
+        limit.setMaximum(3);
+        limit.release(Outcome.ANSWERED, MILLI, 0);
+        limit.release(Outcome.ANSWERED, MILLI, 0);
+        for (int i = 0; i < 10; i++) {
+            round(limit, Outcome.ANSWERED, MILLI, MILLI);
+        }
+        assertEquals(limit.limit(), 3);
+    }
+
     /** Several refusals of the same moment must count once. */
     @Test
     public void shrinksOnceForSimultaneousRefusals() {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/retry/RetryPolicyTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/retry/RetryPolicyTest.java
@@ -20,6 +20,11 @@
         return new RetryPolicy(new RetryBudget(0), mRandom).decide(attempt, now);
     }
 
+    private static FailedAttempt readNotRun(FailureCause cause, boolean inTransaction) {
+        return new FailedAttempt(
+                cause, Verdict.NOT_RUN, StatementKind.READ, false, inTransaction, 1, SECOND);
+    }
+
     private static RetryDecision giveUp(RetryDecision.Reason reason) {
         return new RetryDecision.GiveUp(reason);
     }
@@ -48,15 +53,7 @@
     /** A statement of a transaction belongs to one connection, so it cannot be repeated. */
     @Test
     public void neverRepeatsStatementOfTransaction() {
-        FailedAttempt attempt =
-                new FailedAttempt(
-                        FailureCause.BUSY,
-                        Verdict.NOT_RUN,
-                        StatementKind.READ,
-                        true,
-                        true,
-                        1,
-                        SECOND);
+        FailedAttempt attempt = readNotRun(FailureCause.BUSY, true);
         assertEquals(decide(attempt, 0), giveUp(RetryDecision.Reason.NOT_SAFE));
     }
 
@@ -95,15 +92,7 @@
     public void reroutesAtOnceWithoutCharge() {
         RetryBudget budget = new RetryBudget(0);
         RetryPolicy policy = new RetryPolicy(budget, mRandom);
-        FailedAttempt behind =
-                new FailedAttempt(
-                        FailureCause.BEHIND,
-                        Verdict.NOT_RUN,
-                        StatementKind.READ,
-                        false,
-                        false,
-                        1,
-                        SECOND);
+        FailedAttempt behind = readNotRun(FailureCause.BEHIND, false);
         assertEquals(policy.decide(behind, 0), new RetryDecision.Repeat(0));
         assertEquals(budget.available(0), 10);
     }
@@ -111,15 +100,7 @@
     /** A statement with a fault must not be sent to other servers. */
     @Test
     public void doesNotRepeatRejectedRequest() {
-        FailedAttempt rejected =
-                new FailedAttempt(
-                        FailureCause.REQUEST_REJECTED,
-                        Verdict.NOT_RUN,
-                        StatementKind.READ,
-                        false,
-                        false,
-                        1,
-                        SECOND);
+        FailedAttempt rejected = readNotRun(FailureCause.REQUEST_REJECTED, false);
         assertEquals(decide(rejected, 0), giveUp(RetryDecision.Reason.NOT_USEFUL));
     }
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/ReadRouterTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/ReadRouterTest.java
@@ -121,6 +121,9 @@
         view.observeFailure(B, MILLI);
         assertEquals(
                 choose(read(1, 100), view, 2 * MILLI), use(C, 100, RouteReason.ELIGIBLE_REPLICA));
+        ReadRequirement hurried =
+                new ReadRequirement(new LogPosition(1, 100), OptionalLong.empty(), 500 * MILLI, 0);
+        assertEquals(choose(hurried, view, 59 * MILLI), use(C, 100, RouteReason.ELIGIBLE_REPLICA));
         assertEquals(choose(read(1, 100), view, 60 * MILLI), use(B, 100, RouteReason.PROBE));
         assertEquals(
                 choose(read(1, 100), view, 61 * MILLI), use(C, 100, RouteReason.ELIGIBLE_REPLICA));
