Probe servers that traffic cannot use; compare logs after the last write in the end-to-end test

The comparison of the returned server's log with the primary's log wrote an entry between the two reads and so could never succeed; the test now names the primary first. The condition stays equality of both logs.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
@@ -16,6 +16,7 @@
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.daemon.log.LogEvent;
 import org.plantainferry.daemon.traffic.LaneDirectory;
+import org.plantainferry.daemon.traffic.ServerStates;
 import org.plantainferry.engine.membership.GroupTerm;
 import org.plantainferry.engine.replacement.FenceAnswer;
 import org.plantainferry.engine.replacement.GroupGuardian;
@@ -183,14 +184,7 @@
                         state.position(),
                         state.primaryContactAgeMillis().orElse(NEVER_MILLIS),
                         state.leaving());
-        ServerObservation observation =
-                new ServerObservation(
-                        server,
-                        org.plantainferry.engine.routing.ServerRole.valueOf(state.role().name()),
-                        state.term(),
-                        state.position(),
-                        state.lagMillis().orElse(0L),
-                        state.leaving());
+        ServerObservation observation = ServerStates.observation(state);
         watched.mObserved.put(server, observation);
         watched.mSilent.remove(server);
         mLanes.observe(watched.mService.name(), observation);
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
@@ -32,6 +32,7 @@
  */
 public final class LaneDirectory {
     private static final long EVICTION_SECONDS = 10;
+    private static final long PROBE_MILLIS = 100;
     private static final long TRANSACTION_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final EventLoopGroup mGroup;
@@ -111,6 +112,8 @@
                         mAnswers);
         loop.scheduleAtFixedRate(
                 () -> maintain(lane), EVICTION_SECONDS, EVICTION_SECONDS, TimeUnit.SECONDS);
+        loop.scheduleAtFixedRate(
+                lane::probeUnusable, PROBE_MILLIS, PROBE_MILLIS, TimeUnit.MILLISECONDS);
         return lane;
     }
 
--- /dev/null
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServerStates.java
@@ -0,0 +1,25 @@
+package org.plantainferry.daemon.traffic;
+
+import org.plantainferry.engine.routing.ServerObservation;
+import org.plantainferry.engine.routing.ServerRole;
+import org.plantainferry.network.target.ServerState;
+
+/**
+ * Converts the states that servers report to what routing observes.
+ *
+ * @since 0.1
+ */
+public final class ServerStates {
+    private ServerStates() {}
+
+    /** Returns the observation that a state amounts to. */
+    public static ServerObservation observation(ServerState state) {
+        return new ServerObservation(
+                state.server(),
+                ServerRole.valueOf(state.role().name()),
+                state.term(),
+                state.position(),
+                state.lagMillis().orElse(0L),
+                state.leaving());
+    }
+}
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
@@ -42,6 +42,8 @@
     /** A caller that comes back after this time meets another state of the group. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
+    private static final long PROBE_TIMEOUT_MILLIS = 500;
+
     private final EventLoop mLoop;
     private final TargetConnector mConnector;
     private final UniformRandomProvider mRandom;
@@ -53,6 +55,7 @@
     private final CallerAuthority mAuthority;
     private final TrafficEvents mEvents;
     private final StatementSender mSender;
+    private final StateReader mStates;
     private final Map<ServerId, ServerLane> mServers = new LinkedHashMap<>();
     private final List<PendingRequest> mWaitingForPrimary = new ArrayList<>();
     private final GroupView mView;
@@ -78,6 +81,7 @@
         mClock = clock;
         mAuthority = authority;
         mEvents = events;
+        mStates = states;
         mView = new GroupView(service);
         mBudget = new RetryBudget(clock.getAsLong());
         mRetryPolicy = new RetryPolicy(mBudget, random);
@@ -188,6 +192,29 @@
                 .orElse(false);
     }
 
+    /**
+     * Asks the servers that traffic cannot use for their states, since no answer of theirs to a
+     * statement would show that they have recovered.
+     */
+    void probeUnusable() {
+        for (ServerId id : mView.takeDueStateProbes(mClock.getAsLong())) {
+            mService.servers().stream()
+                    .filter(server -> server.id().equals(id))
+                    .forEach(this::probe);
+        }
+    }
+
+    private void probe(TargetServer server) {
+        mStates.read(server.address(), PROBE_TIMEOUT_MILLIS)
+                .whenCompleteAsync(
+                        (state, failure) -> {
+                            if (failure == null && state.server().equals(server.id())) {
+                                observe(ServerStates.observation(state));
+                            }
+                        },
+                        mLoop);
+    }
+
     /** Takes over what a probe or an answer says of a server. */
     void observe(ServerObservation observation) {
         long termBefore = mView.term();
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
@@ -157,12 +157,13 @@
         long gapMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopped);
         assertTrue(first.isPresent(), "no write was acknowledged within 20 s");
         assertTrue(gapMillis <= 5_000, "the gap was " + gapMillis + " ms");
-        List<String> log = mFleet.group().log(primary()).stream().map(LogEntry::statement).toList();
+        String promoted = primary();
+        List<String> log = mFleet.group().log(promoted).stream().map(LogEntry::statement).toList();
         assertTrue(log.containsAll(acknowledged), "an acknowledged write is missing");
         mFleet.group().start(primary);
         LocalFleet.await(
                 "the returned server to follow",
-                () -> mFleet.group().log(primary).equals(mFleet.group().log(primary())));
+                () -> mFleet.group().log(primary).equals(mFleet.group().log(promoted)));
         assertEquals(mFleet.group().failure(), Optional.empty());
     }
 
