--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
@@ -19,9 +19,10 @@
 /**
  * Keeps the view of the instances from the platform's lagging list and from heartbeats.
  *
- * <p>An instance is live from the first time it was heard of, directly or through others, until it
- * is suspected. Addresses come from the list. A suspected instance that stays in the list still
- * gets heartbeats, so that a partition heals; one that left the list is kept while it is heard of.
+ * <p>An instance is live from its first listing until it is suspected, so that a restarted instance
+ * does not believe itself alone in a large fleet. Addresses come from the list. A suspected
+ * instance that stays in the list still gets heartbeats, so that a partition heals; one that left
+ * the list is kept while it is heard of.
  *
  * <p>With up to {@value #REFRESHED_MEMBERS} instances, silence for {@link #SUSPICION_NANOS} is a
  * suspicion. Eight updates a heartbeat cannot refresh a larger fleet in that time, so there the
@@ -41,13 +42,12 @@
     public static final long ANSWER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** The number of members that piggybacked updates refresh well within the suspicion time. */
-    static final int REFRESHED_MEMBERS = 32;
+    static final int REFRESHED_MEMBERS = 16;
 
     /** The number of unanswered heartbeats in a row that count as evidence. */
     static final int EVIDENCE = 3;
 
     private static final int MAX_UPDATES = 8;
-    private static final int UPDATE_SAMPLES = 24;
     private static final long RELAYED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Added to a relayed age, so that time in transit cannot make a silent peer look younger. */
@@ -64,6 +64,9 @@
     /** Instances with news, and how many more times to pass each on. */
     private final Map<InstanceId, Integer> mNews = new LinkedHashMap<>();
 
+    /** Whether something was heard that may change the snapshot before the next round. */
+    private boolean mChanged;
+
     private boolean mLeaving;
     private long mNextRoundNanos;
     private long mLastTickNanos;
@@ -97,13 +100,13 @@
                 continue;
             }
             listed.add(each.id());
-            record(each.id(), nowNanos).list(each, nowNanos);
+            record(each.id(), nowNanos).list(each);
         }
         mPeers.entrySet()
                 .removeIf(
                         entry ->
                                 !listed.contains(entry.getKey())
-                                        && isSuspect(entry.getValue(), Map.of(), nowNanos));
+                                        && entry.getValue().silence(nowNanos) >= SUSPICION_NANOS);
         refresh(nowNanos);
     }
 
@@ -123,7 +126,9 @@
                 onUpdate(update, nowNanos);
             }
         }
-        refresh(nowNanos);
+        if (mChanged) {
+            refresh(nowNanos);
+        }
     }
 
     /** Takes in that a heartbeat could not be sent, or was not answered in time. */
@@ -131,7 +136,6 @@
         PeerRecord record = mPeers.get(peer);
         if (record != null) {
             record.countUnanswered();
-            refresh(nowNanos);
         }
     }
 
@@ -231,18 +235,18 @@
                     nowNanos - age,
                     nowNanos);
         } else if (record != null && update.incarnation() >= record.incarnation()) {
-            if (record.silence(nowNanos) >= SUSPICION_NANOS) {
-                record.reportedSuspect(true);
-            } else {
+            boolean isSilent = record.silence(nowNanos) >= SUSPICION_NANOS;
+            // Either this instance passes the suspicion on, or it contradicts it.
+            if (!isSilent || !record.reportedSuspect()) {
                 announce(update.instance());
             }
+            record.reportedSuspect(isSilent);
         }
     }
 
     private void hear(
             InstanceId instance, long incarnation, boolean leaving, long atNanos, long nowNanos) {
         PeerRecord record = record(instance, nowNanos);
-        boolean known = record.isHeard();
         long oldIncarnation = record.incarnation();
         boolean oldLeaving = record.leaving();
         if (record.hear(incarnation, leaving, atNanos)) {
@@ -251,7 +255,7 @@
                 announce(instance);
             }
         }
-        if (!known || oldIncarnation != record.incarnation() || oldLeaving != record.leaving()) {
+        if (oldIncarnation != record.incarnation() || oldLeaving != record.leaving()) {
             announce(instance);
         }
     }
@@ -263,21 +267,25 @@
     private void announce(InstanceId instance) {
         int bits = Integer.SIZE - Integer.numberOfLeadingZeros(mPeers.size() + 1);
         mNews.put(instance, 2 * bits);
+        mChanged = true;
     }
 
     /** Rebuilds the snapshot when the set of live instances or one of them has changed. */
     private void refresh(long nowNanos) {
+        mChanged = false;
         Map<FailureDomain, Long> domainSilence = domainSilence(nowNanos);
         Map<InstanceId, Member> live = new TreeMap<>();
         live.put(mSelf.id(), mSelf.withLeaving(mLeaving));
         for (Map.Entry<InstanceId, PeerRecord> entry : mPeers.entrySet()) {
             PeerRecord record = entry.getValue();
             boolean suspect = isSuspect(record, domainSilence, nowNanos);
-            if (suspect && !record.reportedSuspect() && record.isHeard()) {
+            // In a large fleet, silence alone may only mean that no update came this way.
+            boolean isSure = isSmall() || record.unanswered() >= EVIDENCE;
+            if (suspect && isSure && !record.reportedSuspect()) {
                 record.reportedSuspect(true);
                 announce(entry.getKey());
             }
-            if (!suspect && record.isHeard() && record.member() != null) {
+            if (!suspect && record.member() != null) {
                 live.put(entry.getKey(), record.member().withLeaving(record.leaving()));
             }
         }
@@ -287,6 +295,10 @@
         }
     }
 
+    private boolean isSmall() {
+        return mPeers.size() <= REFRESHED_MEMBERS;
+    }
+
     private boolean isSuspect(
             PeerRecord record, Map<FailureDomain, Long> domainSilence, long nowNanos) {
         long silence = record.silence(nowNanos);
@@ -301,7 +313,9 @@
                         >= SUSPICION_NANOS) {
             return true;
         }
-        long scale = Math.max(1, (mPeers.size() + REFRESHED_MEMBERS - 1) / REFRESHED_MEMBERS);
+        // With 10 messages of 8 updates a second, about 50 updates on each member are due in this
+        // time, so a healthy member is hardly ever missed for so long.
+        long scale = isSmall() ? 1 : 2L * mPeers.size() / REFRESHED_MEMBERS;
         return silence >= SUSPICION_NANOS * scale;
     }
 
@@ -360,7 +374,8 @@
     /** Returns news first, then random members that were heard of lately. */
     private List<MemberUpdate> updates(long nowNanos) {
         Set<InstanceId> chosen = new LinkedHashSet<>();
-        mNews.keySet().removeIf(each -> !mPeers.containsKey(each));
+        // News that has grown old would be read as a suspicion.
+        mNews.keySet().removeIf(each -> !isWorthPassingOn(mPeers.get(each), nowNanos));
         for (InstanceId each : List.copyOf(mNews.keySet())) {
             if (chosen.size() >= MAX_UPDATES) {
                 break;
@@ -371,18 +386,28 @@
                 mNews.put(each, left);
             }
         }
-        List<InstanceId> all = List.copyOf(mPeers.keySet());
-        for (int i = 0; i < UPDATE_SAMPLES && !all.isEmpty(); i++) {
-            InstanceId each = all.get(mRandom.nextInt(all.size()));
-            if (chosen.size() < MAX_UPDATES
-                    && mPeers.get(each).isHeard()
-                    && mPeers.get(each).silence(nowNanos) <= RELAYED_AGE_NANOS) {
-                chosen.add(each);
-            }
+        List<InstanceId> fresh = new ArrayList<>();
+        mPeers.forEach(
+                (instance, record) -> {
+                    if (!record.reportedSuspect() && isWorthPassingOn(record, nowNanos)) {
+                        fresh.add(instance);
+                    }
+                });
+        while (chosen.size() < MAX_UPDATES && !fresh.isEmpty()) {
+            int index = mRandom.nextInt(fresh.size());
+            chosen.add(fresh.get(index));
+            fresh.set(index, fresh.get(fresh.size() - 1));
+            fresh.remove(fresh.size() - 1);
         }
         return chosen.stream().map(each -> update(each, nowNanos)).toList();
     }
 
+    private static boolean isWorthPassingOn(PeerRecord record, long nowNanos) {
+        return record != null
+                && (record.reportedSuspect()
+                        || record.isHeard() && record.silence(nowNanos) <= RELAYED_AGE_NANOS);
+    }
+
     private MemberUpdate update(InstanceId instance, long nowNanos) {
         PeerRecord record = mPeers.get(instance);
         long age = TimeUnit.NANOSECONDS.toMillis(record.silence(nowNanos));
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/PeerRecord.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/PeerRecord.java
@@ -10,27 +10,19 @@
     private boolean mHeard;
     private long mHeardNanos;
     private long mFirstNanos;
-    private long mRelistedNanos;
     private int mUnanswered;
     private boolean mReportedSuspect;
 
     PeerRecord(long nowNanos) {
         mFirstNanos = nowNanos;
-        mRelistedNanos = nowNanos;
     }
 
     Member member() {
         return mMember;
     }
 
-    void list(Member member, long nowNanos) {
+    void list(Member member) {
         mMember = member;
-        mRelistedNanos = nowNanos;
-    }
-
-    /** Returns the time of the latest listing by the platform. */
-    long listedNanos() {
-        return mRelistedNanos;
     }
 
     long incarnation() {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupGuardianTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupGuardianTest.java
@@ -49,6 +49,9 @@
                 simulation.runFor(simulation.mRandom.nextLong(1_500 * MILLI));
             }
             simulation.heal();
+            for (GroupSimulation.Instance each : simulation.mInstances.values()) {
+                each.mGuardian.onGuardians(simulation.mRanked, simulation.mNow);
+            }
             int survivor = simulation.mRandom.nextInt(3);
             for (int i = 0; i < 3; i++) {
                 if (i != survivor) {
@@ -146,7 +149,7 @@
         int index = simulation.mRandom.nextInt(2 * nodes.size());
         // Half of the faults meet the primary, so that terms change often.
         String node = index < nodes.size() ? nodes.get(index) : simulation.newestPrimary().value();
-        switch (simulation.mRandom.nextInt(10)) {
+        switch (simulation.mRandom.nextInt(12)) {
             case 0 -> simulation.isolate(node);
             case 1 -> simulation.cut(node, nodes.get(simulation.mRandom.nextInt(nodes.size())));
             case 2 ->
@@ -161,6 +164,19 @@
                                                     simulation.mRandom.nextInt(3)))
                                     .mLeaving =
                             simulation.mRandom.nextBoolean();
+            case 7 -> simulation.instance(simulation.mRandom.nextInt(3)).restart();
+            case 8 -> {
+                // Instances may disagree on the guardians and on their ranks.
+                int rank = simulation.mRandom.nextInt(3);
+                simulation
+                        .instance(simulation.mRandom.nextInt(3))
+                        .mGuardian
+                        .onGuardians(
+                                List.of(
+                                        simulation.mRanked.get(rank),
+                                        simulation.mRanked.get((rank + 1) % 3)),
+                                simulation.mNow);
+            }
             default -> simulation.heal();
         }
     }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
@@ -23,7 +23,8 @@
     /** One instance: a guardian that also passes writes on. */
     final class Instance {
         final InstanceId mId;
-        final GroupGuardian mGuardian;
+        GroupGuardian mGuardian;
+        private int mIncarnation = 1;
         final List<Long> mFences = new ArrayList<>();
 
         Instance(int index) {
@@ -31,6 +32,13 @@
             mGuardian = new GroupGuardian(mId, mId + ".1", mServerIds, mNow);
         }
 
+        /** Replaces the process by a new one that remembers nothing. */
+        void restart() {
+            mIncarnation++;
+            mGuardian = new GroupGuardian(mId, mId + "." + mIncarnation, mServerIds, mNow);
+            mGuardian.onGuardians(mRanked, mNow);
+        }
+
         void tick() {
             run(mGuardian.tick(mNow));
             mGuardian.primary().ifPresent(each -> write(each, mGuardian.term()));
@@ -218,6 +226,7 @@
     private final Set<String> mCut = new HashSet<>();
     final Map<String, Long> mPausedUntil = new HashMap<>();
     final Map<String, Long> mExtraDelay = new HashMap<>();
+    final List<InstanceId> mRanked = new ArrayList<>();
     double mLoss;
     long mMaxDelay = 3 * MILLI;
 
@@ -229,14 +238,13 @@
             mServers.put(id, server);
             after(id.value(), mRandom.nextLong(TICK), () -> replicate(server));
         }
-        List<InstanceId> ranked = new ArrayList<>();
         for (int i = 0; i < guardians; i++) {
             Instance instance = new Instance(i);
             mInstances.put(instance.mId, instance);
-            ranked.add(instance.mId);
+            mRanked.add(instance.mId);
             after(instance.mId.value(), mRandom.nextLong(TICK), instance::tick);
         }
-        mInstances.values().forEach(each -> each.mGuardian.onGuardians(ranked, mNow));
+        mInstances.values().forEach(each -> each.mGuardian.onGuardians(mRanked, mNow));
     }
 
     void runFor(long nanos) {
