--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -1,11 +1,14 @@
 package org.plantainferry.engine.limit;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.InstanceId;
@@ -23,6 +26,9 @@
  */
 public final class ShareHolder {
     private static final long ASK_AGAIN = TimeUnit.MILLISECONDS.toNanos(5);
+
+    // With 500 workspaces a look at each of them on every tick would take some percent of a core.
+    private static final long SCAN_PERIOD = TimeUnit.MILLISECONDS.toNanos(50);
     private static final double EXTRA_REQUESTS_PER_SECOND = 30;
     private static final double EXTRA_REQUESTS_BURST = 60;
 
@@ -36,7 +42,10 @@
     private final Map<WorkspaceName, WorkspaceBucket> mBuckets = new ConcurrentHashMap<>();
     private final Map<InstanceId, AllocatorLink> mLinks = new HashMap<>();
     private final WorkspaceBucket mExtraRequests;
+    private final Map<InstanceId, Set<HeldShare>> mInterested = new LinkedHashMap<>();
     private long mSequence;
+    private long mScanned;
+    private int mScannedSlots = -1;
     private long mConfigurationVersion = -1;
 
     /** Creates a holder without slots. */
@@ -65,16 +74,14 @@
                 EXTRA_REQUESTS_PER_SECOND,
                 EXTRA_REQUESTS_BURST,
                 nowNanos + EXTRA_REQUESTS_LAPSE);
-        Map<InstanceId, List<HeldShare>> interested = new LinkedHashMap<>();
-        for (HeldShare share : mShares.values()) {
-            chooseAllocator(nowNanos, share, ranking.candidates(share.name()));
-            share.refreshPermanent(nowNanos, usableSlots, mTerms.slotTerms(nowNanos, share.name()));
-            if (share.allocator() != null && share.isInterested(nowNanos, usableSlots)) {
-                interested.computeIfAbsent(share.allocator(), key -> new ArrayList<>()).add(share);
-            }
+        if (usableSlots != mScannedSlots || nowNanos - mScanned >= SCAN_PERIOD) {
+            scan(nowNanos, usableSlots, ranking);
         }
+        mShares.values().stream()
+                .filter(share -> share.bucket().isAskWanted() && share.allocator() != null)
+                .forEach(this::addInterested);
         List<SendShareRequest> requests = new ArrayList<>();
-        interested.forEach(
+        mInterested.forEach(
                 (allocator, shares) -> {
                     AllocatorLink link = link(allocator);
                     if (isDue(nowNanos, link, shares)) {
@@ -85,6 +92,24 @@
         return requests;
     }
 
+    /** Renews all permanent parts and finds out which allocators are needed. */
+    private void scan(long nowNanos, int usableSlots, AllocatorRanking ranking) {
+        mScanned = nowNanos;
+        mScannedSlots = usableSlots;
+        mInterested.clear();
+        for (HeldShare share : mShares.values()) {
+            chooseAllocator(nowNanos, share, ranking.candidates(share.name()));
+            share.refreshPermanent(nowNanos, usableSlots, mTerms.slotTerms(nowNanos, share.name()));
+            if (share.allocator() != null && share.isInterested(nowNanos, usableSlots)) {
+                addInterested(share);
+            }
+        }
+    }
+
+    private void addInterested(HeldShare share) {
+        mInterested.computeIfAbsent(share.allocator(), key -> new LinkedHashSet<>()).add(share);
+    }
+
     /**
      * Applies an answer; one that is late or was applied before is ignored.
      *
@@ -133,7 +158,7 @@
                 .orElse(0);
     }
 
-    private boolean isDue(long nowNanos, AllocatorLink link, List<HeldShare> shares) {
+    private boolean isDue(long nowNanos, AllocatorLink link, Collection<HeldShare> shares) {
         boolean asked = false;
         for (HeldShare share : shares) {
             asked |= share.bucket().takeAskWanted();
@@ -153,7 +178,7 @@
     }
 
     private ShareRequest request(
-            long nowNanos, AllocatorLink link, List<HeldShare> shares, int usableSlots) {
+            long nowNanos, AllocatorLink link, Collection<HeldShare> shares, int usableSlots) {
         long nonce = link.nonce(nowNanos);
         // An unanswered request means that the allocator may be gone: the deposit is not prolonged,
         // so that the slots can be used elsewhere soon.
@@ -195,6 +220,8 @@
             return;
         }
         mConfigurationVersion = mTerms.configuration().version();
+        mScannedSlots = -1;
+        mInterested.clear();
         for (Workspace workspace : mTerms.configuration().parts().workspaces()) {
             mShares.computeIfAbsent(workspace.name(), name -> new HeldShare(nowNanos, name));
         }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -36,7 +36,7 @@
     private long mWaitUntil;
     private long mNextAsk;
     private long mBackoff = FIRST_BACKOFF;
-    private boolean mAskWanted;
+    private volatile boolean mAskWanted;
     private int mWaiting;
 
     /** Creates an empty bucket. */
@@ -183,6 +183,11 @@
         mNextAsk = fruitful ? mNow : mNow + mBackoff;
     }
 
+    /** Returns whether a request waits for tokens for which no ask has been sent. */
+    boolean isAskWanted() {
+        return mAskWanted;
+    }
+
     /** Returns whether a request waits for tokens since the last call. */
     public synchronized boolean takeAskWanted() {
         boolean wanted = mAskWanted;
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -6,10 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.WorkspaceName;
@@ -54,13 +56,17 @@
         }
 
         private List<InstanceId> rank(WorkspaceName workspace) {
-            return mView.stream()
-                    .sorted(
-                            Comparator.comparingLong(
-                                    node -> mix(node.mId.hashCode(), workspace.hashCode())))
-                    .limit(2)
-                    .map(node -> node.mId)
-                    .toList();
+            Node first = null;
+            Node second = null;
+            for (Node node : mView) {
+                if (first == null || score(node, workspace) < score(first, workspace)) {
+                    second = first;
+                    first = node;
+                } else if (second == null || score(node, workspace) < score(second, workspace)) {
+                    second = node;
+                }
+            }
+            return Stream.of(first, second).filter(Objects::nonNull).map(n -> n.mId).toList();
         }
 
         private void send(SendShareRequest sent) {
@@ -286,8 +292,9 @@
         return bytes;
     }
 
-    private static long mix(long left, long right) {
-        long hash = (left * 0x9E3779B97F4A7C15L + right) * 0xBF58476D1CE4E5B9L;
+    private static long score(Node node, WorkspaceName workspace) {
+        long hash = node.mId.hashCode() * 0x9E3779B97F4A7C15L + workspace.hashCode();
+        hash *= 0xBF58476D1CE4E5B9L;
         return hash ^ (hash >>> 31);
     }
 
