--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/SlotClaims.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/SlotClaims.java
@@ -131,12 +131,15 @@
 
     /** Returns the number of slots that may be spent or deposited now. */
     public int usableSlots(long nowNanos) {
+        return usableIndices(nowNanos).size();
+    }
+
+    List<Integer> usableIndices(long nowNanos) {
         int limit = mTerms.usableSlots(nowNanos, mDomain);
-        return (int)
-                mTable.map(table -> table.heldBy(mSelf)).orElse(Set.of()).stream()
-                        .filter(index -> index < limit && !mReleasing.contains(index))
-                        .filter(index -> isRested(nowNanos, index))
-                        .count();
+        return mTable.map(table -> table.heldBy(mSelf)).orElse(Set.of()).stream()
+                .filter(index -> index < limit && !mReleasing.contains(index))
+                .filter(index -> isRested(nowNanos, index))
+                .toList();
     }
 
     private boolean isRested(long nowNanos, int index) {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareInvariantTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareInvariantTest.java
@@ -55,6 +55,47 @@
                 trouble, seeds, granted / 10.0 / seeds / WORKSPACES, RATE);
     }
 
+    @DataProvider
+    public Object[][] changes() {
+        return new Object[][] {
+            {50, 10, new int[] {3, 2, 4}}, {200, 40, new int[] {3, 2, 4}},
+            {100, 20, new int[] {6, 2, 4}}, {100, 20, new int[] {1, 2, 4}},
+            {60, 30, new int[] {1, 2, 4}}, {150, 5, new int[] {6, 2, 4}}
+        };
+    }
+
+    @Test(dataProvider = "changes")
+    public void staysWithinTheGreaterLimitDuringAChangeAndThenWithinTheNewOne(
+            double rate, double burst, int[] slots) {
+        for (int seed = 1; seed <= 40; seed++) {
+            ShareSimulation fleet = fleet(seed, seed % 2 == 0 ? "calm" : "loss", 20);
+            Configuration next = ShareSimulation.configuration(2, WORKSPACES, rate, burst, slots);
+            List<Node> nodes = List.copyOf(fleet.mNodes.values());
+            nodes.stream()
+                    .filter(node -> node.mId.value().endsWith("-1"))
+                    .forEach(node -> node.mFirstIndex = 1);
+            for (Node node : nodes) {
+                long at = 4 * SECOND + (long) (fleet.mRandom.nextDouble() * 5 * SECOND);
+                fleet.at(at, () -> node.mTerms.install(node.clock(), next));
+            }
+            // The slots that only the new version has, claimed as soon as it is known.
+            Node added = nodes.stream().filter(n -> n.mId.value().endsWith("-0-2")).findAny().get();
+            added.mFirstIndex = 3;
+            added.mSlots = Math.max(0, slots[0] - 3);
+            fleet.run(30 * SECOND);
+            String place = "rate " + rate + ", slots " + slots[0] + ", seed " + seed + ": excess ";
+            double most =
+                    fleet.excess(
+                            ShareSimulation.workspace(0),
+                            Math.max(rate, RATE),
+                            Math.max(burst, 20),
+                            0);
+            assertTrue(most <= ROUNDING, place + most);
+            double after = fleet.excess(ShareSimulation.workspace(0), rate, burst, 12 * SECOND);
+            assertTrue(after <= ROUNDING, place + after + " after the change");
+        }
+    }
+
     private ShareSimulation fleet(int seed, String trouble, double burst) {
         boolean all = trouble.equals("all");
         ShareSimulation fleet = new ShareSimulation(seed);
@@ -62,9 +103,11 @@
                 ShareSimulation.configuration(1, WORKSPACES, RATE, burst, SLOTS);
         List<Node> live = new ArrayList<>();
         for (int domain = 0; domain < SLOTS.length; domain++) {
-            live.add(fleet.add("n" + mNames++, domain, 1, configuration));
-            live.add(fleet.add("n" + mNames++, domain, SLOTS[domain] - 1, configuration));
-            live.add(fleet.add("n" + mNames++, domain, 0, configuration));
+            int[] held = {1, SLOTS[domain] - 1, 0};
+            for (int i = 0; i < held.length; i++) {
+                String name = "n" + mNames++ + "-" + domain + "-" + i;
+                live.add(fleet.add(name, domain, held[i], configuration));
+            }
         }
         for (int w = 0; w < WORKSPACES; w++) {
             overload(fleet, live, w);
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -35,6 +35,7 @@
         final Set<Node> mView = new HashSet<>();
         final Map<WorkspaceName, List<Waiter>> mWaiters = new HashMap<>();
         int mSlots;
+        int mFirstIndex;
         long mPausedUntil;
         boolean mDead;
 
@@ -51,7 +52,8 @@
         }
 
         void tick() {
-            int usable = Math.min(mSlots, mTerms.usableSlots(clock(), domain(mDomain)));
+            int limit = mTerms.usableSlots(clock(), domain(mDomain));
+            int usable = Math.max(0, Math.min(mSlots, limit - mFirstIndex));
             mHolder.tick(clock(), usable, this::rank).forEach(this::send);
         }
 
