Lose no tokens to deposits that end with a grant, nor to halved grants

A grant that was cut to the shortest deposit did not count that deposit, which cost a fifteenth of the rate: all traffic on one instance is now served at 95% load. Traffic that moves every 2 s is still refused too often with small bursts.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -19,7 +19,7 @@
 
     // Counted from the sending of the request, so it must exceed a round trip; until it ends, the
     // capacity cannot be used elsewhere.
-    private static final long SINGLE_TOKENS_VALID = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long SINGLE_TOKENS_VALID = TimeUnit.MILLISECONDS.toNanos(20);
 
     // Kept for instances that have no grant yet, so that their first request is answered at once.
     private static final double RESERVE_PART = 0.1;
@@ -79,7 +79,8 @@
         LentShare borrower = borrower(instance);
         borrower.seen(mNow, share);
         long valid = validity();
-        int slots = depositedSlots(mNow + valid);
+        // A deposit that ends together with the grant counts.
+        int slots = depositedSlots(mNow + valid - 1);
         Division division = new Division(mNow, mBorrowers, mTerms, slots, RESERVE_PART);
         ShareAnswer.Grant grant =
                 division.isScarce(instance)
@@ -128,6 +129,7 @@
         double ownCapacity = borrower.lentCapacity(mNow);
         double free = freeCapacity(slots, ownCapacity);
         double capacity = Math.min(free, division.capacity(instance));
+        double mostRate = slots * mTerms.ratePerSecond();
         double offered = Math.max(0, mPool - division.reserve()) * division.part(instance);
         if (share.waiting() > 0) {
             offered = mPool;
@@ -135,6 +137,8 @@
         } else if (isOtherStarving(borrower)) {
             // Half of the tokens go to those who have none; repeated recalls take the rest.
             capacity = Math.min(capacity, level / 2);
+            // The rate follows, or it would overflow the smaller bucket.
+            mostRate = borrower.lentRate(mNow) / 2;
         }
         capacity = capacity < 1 ? 0 : capacity;
         double tokens = Math.min(offered, capacity - level);
@@ -142,6 +146,7 @@
         double poolSpace = free - Math.max(capacity, ownCapacity + tokens) - (mPool - tokens);
         double freeRate =
                 Math.max(0, slots * mTerms.ratePerSecond() - lentRate() + borrower.lentRate(mNow));
+        freeRate = Math.min(freeRate, mostRate);
         double rate = division.rate(instance) - poolRate(division, instance, poolSpace);
         rate = capacity > 0 ? Math.max(0, Math.min(freeRate, rate)) : 0;
         return new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, false);
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareUtilisationTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareUtilisationTest.java
@@ -28,16 +28,22 @@
     }
 
     @Test(dataProvider = "loads")
-    public void servesAllTrafficInsideTheRate(double rate, double burst, double load) {
+    public void servesTrafficInsideTheRateOnOneInstance(double rate, double burst, double load) {
         double steady = wrongfulRefusals(rate, burst, load, END, 15);
-        double moving = wrongfulRefusals(rate, burst, load, 2 * SECOND, 15);
         double spread = wrongfulRefusals(rate, burst, load, 0, 15);
         System.out.printf(
-                "rate %.0f burst %.0f load %.0f%%: wrongful %.3f%% on one instance, %.3f%% moving,"
-                        + " %.3f%% spread%n",
-                rate, burst, 100 * load, 100 * steady, 100 * moving, 100 * spread);
-        assertTrue(steady < 0.001, "on one instance: " + steady);
-        assertTrue(moving < 0.001, "moving every 2 s: " + moving);
+                "rate %.0f burst %.0f load %.0f%%: wrongful %.3f%% on one, %.3f%% spread over 15%n",
+                rate, burst, 100 * load, 100 * steady, 100 * spread);
+        assertTrue(steady < 0.001, "refused " + steady);
+    }
+
+    @Test(dataProvider = "loads")
+    public void servesTrafficInsideTheRateThatMoves(double rate, double burst, double load) {
+        double moving = wrongfulRefusals(rate, burst, load, 2 * SECOND, 15);
+        System.out.printf(
+                "rate %.0f burst %.0f load %.0f%%: wrongful %.3f%% moving every 2 s%n",
+                rate, burst, 100 * load, 100 * moving);
+        assertTrue(moving < 0.001, "refused " + moving);
     }
 
     @Test
