--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Acquisition.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Acquisition.java
@@ -14,8 +14,9 @@
     record Granted() implements Acquisition {}
 
     /**
-     * Says that tokens are being asked for; the caller tries again after the next answer or after
-     * the wait, whichever comes first.
+     * Says that a token is due soon or is being asked for; the caller tries again after the next
+     * answer and after the wait. It may be told to wait again, but gives up 100 ms after its first
+     * try.
      *
      * @param nanos the longest wait
      * @since 0.1
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -18,6 +18,10 @@
     private static final Acquisition.Granted GRANTED = new Acquisition.Granted();
     private static final long FIRST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(10);
     private static final long LONGEST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(320);
+
+    // Tokens that are on their way between instances are missing for some milliseconds; a short
+    // queue covers that, and is short enough for an overloaded workspace to be refused soon.
+    private static final long LONGEST_QUEUE = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RETRY_AFTER_UNKNOWN = TimeUnit.MILLISECONDS.toNanos(500);
 
     // Sums of binary fractions may miss a whole token by a rounding error.
@@ -35,6 +39,7 @@
     private long mNow;
     private long mWaitUntil;
     private long mNextAsk;
+    private long mPromisedUntil;
     private long mBackoff = FIRST_BACKOFF;
     private volatile boolean mAskWanted;
     private int mWaiting;
@@ -46,6 +51,7 @@
         mGrantUntil = nowNanos;
         mWaitUntil = nowNanos;
         mNextAsk = nowNanos;
+        mPromisedUntil = nowNanos;
         mDemand = new DemandMeter(nowNanos);
     }
 
@@ -81,6 +87,22 @@
             mNextAsk = mWaitUntil + mBackoff;
             return new Acquisition.Wait(ShareTiming.LONGEST_WAIT);
         }
+        return waitForDueToken();
+    }
+
+    /** Queues the request when a token is due soon, behind those that wait already. */
+    private Acquisition waitForDueToken() {
+        double rate = mPermanentRate + mGrantRate;
+        if (rate > 0) {
+            double missing = 1 - mPermanentTokens - mGrantTokens;
+            long firstDue = mNow + (long) (missing / rate * ShareTiming.NANOS_PER_SECOND);
+            long nextDue = mPromisedUntil + (long) (ShareTiming.NANOS_PER_SECOND / rate);
+            long due = nextDue - firstDue > 0 ? nextDue : firstDue;
+            if (due - mNow <= LONGEST_QUEUE) {
+                mPromisedUntil = due;
+                return new Acquisition.Wait(due - mNow + 1);
+            }
+        }
         return new Acquisition.Refused(retryAfterMillis());
     }
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -112,7 +112,7 @@
             if (result instanceof Acquisition.Wait wait) {
                 Waiter waiter = new Waiter(workspace);
                 mWaiters.computeIfAbsent(workspace, key -> new ArrayList<>()).add(waiter);
-                at(mNow + wait.nanos(), () -> afterPause(this, () -> waiter.retry(this, true)));
+                at(mNow + wait.nanos(), () -> afterPause(this, () -> waiter.retry(this)));
                 tick();
             } else {
                 count(workspace, result);
@@ -122,26 +122,29 @@
         private void wake(WorkspaceName workspace) {
             List<Waiter> waiters = mWaiters.remove(workspace);
             if (waiters != null) {
-                waiters.forEach(waiter -> waiter.retry(this, false));
+                waiters.forEach(waiter -> waiter.retry(this));
             }
         }
     }
 
     private final class Waiter {
         private final WorkspaceName mWorkspace;
+        private final long mGiveUp = mNow + ShareTiming.LONGEST_WAIT;
         private boolean mDone;
 
         Waiter(WorkspaceName workspace) {
             mWorkspace = workspace;
         }
 
-        void retry(Node node, boolean last) {
+        void retry(Node node) {
             if (mDone || node.mDead) {
                 return;
             }
             Acquisition result =
                     node.mHolder.bucket(mWorkspace).orElseThrow().retryAcquire(node.clock());
-            if (result instanceof Acquisition.Wait && !last) {
+            long left = mGiveUp - mNow;
+            if (result instanceof Acquisition.Wait wait && left > 0) {
+                at(mNow + Math.min(left, wait.nanos()), () -> afterPause(node, () -> retry(node)));
                 node.mWaiters.computeIfAbsent(mWorkspace, key -> new ArrayList<>()).add(this);
                 return;
             }
