--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -6,10 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.WorkspaceName;
@@ -33,6 +35,7 @@
         final Set<Node> mView = new HashSet<>();
         final Map<WorkspaceName, List<Waiter>> mWaiters = new HashMap<>();
         int mSlots;
+        int mFirstIndex;
         long mPausedUntil;
         boolean mDead;
 
@@ -49,18 +52,23 @@
         }
 
         void tick() {
-            int usable = Math.min(mSlots, mTerms.usableSlots(clock(), domain(mDomain)));
+            int limit = mTerms.usableSlots(clock(), domain(mDomain));
+            int usable = Math.max(0, Math.min(mSlots, limit - mFirstIndex));
             mHolder.tick(clock(), usable, this::rank).forEach(this::send);
         }
 
         private List<InstanceId> rank(WorkspaceName workspace) {
-            return mView.stream()
-                    .sorted(
-                            Comparator.comparingLong(
-                                    node -> mix(node.mId.hashCode(), workspace.hashCode())))
-                    .limit(2)
-                    .map(node -> node.mId)
-                    .toList();
+            Node first = null;
+            Node second = null;
+            for (Node node : mView) {
+                if (first == null || score(node, workspace) < score(first, workspace)) {
+                    second = first;
+                    first = node;
+                } else if (second == null || score(node, workspace) < score(second, workspace)) {
+                    second = node;
+                }
+            }
+            return Stream.of(first, second).filter(Objects::nonNull).map(n -> n.mId).toList();
         }
 
         private void send(SendShareRequest sent) {
@@ -104,7 +112,7 @@
             if (result instanceof Acquisition.Wait wait) {
                 Waiter waiter = new Waiter(workspace);
                 mWaiters.computeIfAbsent(workspace, key -> new ArrayList<>()).add(waiter);
-                at(mNow + wait.nanos(), () -> afterPause(this, () -> waiter.retry(this, true)));
+                at(mNow + wait.nanos(), () -> afterPause(this, () -> waiter.retry(this)));
                 tick();
             } else {
                 count(workspace, result);
@@ -114,26 +122,29 @@
         private void wake(WorkspaceName workspace) {
             List<Waiter> waiters = mWaiters.remove(workspace);
             if (waiters != null) {
-                waiters.forEach(waiter -> waiter.retry(this, false));
+                waiters.forEach(waiter -> waiter.retry(this));
             }
         }
     }
 
     private final class Waiter {
         private final WorkspaceName mWorkspace;
+        private final long mGiveUp = mNow + ShareTiming.LONGEST_WAIT;
         private boolean mDone;
 
         Waiter(WorkspaceName workspace) {
             mWorkspace = workspace;
         }
 
-        void retry(Node node, boolean last) {
+        void retry(Node node) {
             if (mDone || node.mDead) {
                 return;
             }
             Acquisition result =
                     node.mHolder.bucket(mWorkspace).orElseThrow().retryAcquire(node.clock());
-            if (result instanceof Acquisition.Wait && !last) {
+            long left = mGiveUp - mNow;
+            if (result instanceof Acquisition.Wait wait && left > 0) {
+                at(mNow + Math.min(left, wait.nanos()), () -> afterPause(node, () -> retry(node)));
                 node.mWaiters.computeIfAbsent(mWorkspace, key -> new ArrayList<>()).add(this);
                 return;
             }
@@ -286,8 +297,9 @@
         return bytes;
     }
 
-    private static long mix(long left, long right) {
-        long hash = (left * 0x9E3779B97F4A7C15L + right) * 0xBF58476D1CE4E5B9L;
+    private static long score(Node node, WorkspaceName workspace) {
+        long hash = node.mId.hashCode() * 0x9E3779B97F4A7C15L + workspace.hashCode();
+        hash *= 0xBF58476D1CE4E5B9L;
         return hash ^ (hash >>> 31);
     }
 
