Forget a silent peer connection before it closes

silentConnectionIsReplaced failed once on a busy machine: a call that came while the given-up connection was still closing was refused instead of being sent on a new one. The link now drops the connection first and closes it afterwards.

Waits in the tests have an end, so that a fault shows as a failure and not as a hanging build.

--- a/plantainferry-network/src/main/java/org/plantainferry/network/peer/PeerLink.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/PeerLink.java
@@ -258,7 +258,7 @@
                 .addListener(
                         done -> {
                             if (!done.isSuccess()) {
-                                channel.close();
+                                abandon(channel, "the message cannot be written");
                             }
                         });
     }
@@ -275,10 +275,17 @@
                 && mReady != null
                 && mSilent
                 && System.nanoTime() - mSilentSinceNanos > SILENCE_NANOS) {
-            mReady.close();
+            abandon(mReady, "the peer is silent");
         }
     }
 
+    // The link forgets the connection before it closes, which may take a while: messages that come
+    // meanwhile then go to a new connection.
+    private void abandon(Channel channel, String reason) {
+        onClosed(channel, reason);
+        channel.close();
+    }
+
     private void refuseWaiting(String reason) {
         for (PeerMessage each = mWaiting.poll(); each != null; each = mWaiting.poll()) {
             refuse(each, reason);
--- a/plantainferry-network/src/test/java/org/plantainferry/network/http/ScriptedServer.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/http/ScriptedServer.java
@@ -9,14 +9,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.testng.Assert;
 
 /** Serves each connection with the script of a test, which sees the bare socket. */
 public final class ScriptedServer implements AutoCloseable {
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
     private static final Pattern NUMBER = Pattern.compile("(?i)request-number: *([^\r\n]+)");
 
+    private static final long WAIT_SECONDS = 10;
+
     private final ServerSocket mListener;
     private final BlockingQueue<Socket> mSockets = new LinkedBlockingQueue<>();
 
@@ -37,9 +41,11 @@
         return "127.0.0.1:" + mListener.getLocalPort();
     }
 
-    /** Returns the next accepted connection. */
+    /** Returns the next accepted connection, and fails when none comes in time. */
     public Socket nextSocket() throws InterruptedException {
-        return mSockets.take();
+        Socket socket = mSockets.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        Assert.assertNotNull(socket, "no connection within " + WAIT_SECONDS + " s");
+        return socket;
     }
 
     /** Reads one request with its body; empty at the end of the stream. */
--- a/plantainferry-network/src/test/java/org/plantainferry/network/store/HttpPlatformStoreTest.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/store/HttpPlatformStoreTest.java
@@ -7,6 +7,7 @@
 import static org.plantainferry.network.http.ScriptedServer.write;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -57,7 +58,7 @@
             assertEquals(
                     await(store(server).get("groups/ledger")).orElseThrow(),
                     new StoreObject("groups/ledger", 7, Optional.of("{\"a\":1}")));
-            assertTrue(mRequests.take().startsWith("GET /objects/groups/ledger HTTP/1.1"));
+            assertTrue(nextRequest().startsWith("GET /objects/groups/ledger HTTP/1.1"));
         }
         try (ScriptedServer server = serve(answer(404, "", ""))) {
             assertEquals(await(store(server).get("absent")), Optional.empty());
@@ -70,11 +71,11 @@
         try (ScriptedServer server = serve(answer(200, "ETag: \"8\"\r\n", ""))) {
             HttpPlatformStore store = store(server);
             assertEquals(await(store.put("a", "1", WriteCondition.atVersion(7))), Optional.of(8L));
-            assertTrue(mRequests.take().toLowerCase().contains("if-match: \"7\"\r\n"));
+            assertTrue(nextRequest().toLowerCase().contains("if-match: \"7\"\r\n"));
             await(store.put("a", "1", WriteCondition.ABSENT));
-            assertTrue(mRequests.take().toLowerCase().contains("if-none-match: *\r\n"));
+            assertTrue(nextRequest().toLowerCase().contains("if-none-match: *\r\n"));
             assertTrue(await(store.delete("a", 8)));
-            assertTrue(mRequests.take().toLowerCase().contains("if-match: \"8\"\r\n"));
+            assertTrue(nextRequest().toLowerCase().contains("if-match: \"8\"\r\n"));
         }
         try (ScriptedServer server = serve(answer(412, "", ""))) {
             HttpPlatformStore store = store(server);
@@ -233,6 +234,12 @@
                 });
     }
 
+    private String nextRequest() throws InterruptedException {
+        String request = mRequests.poll(10, TimeUnit.SECONDS);
+        assertNotNull(request, "no request within 10 s");
+        return request;
+    }
+
     private HttpPlatformStore store(ScriptedServer server) {
         return new HttpPlatformStore(mGroup, server.address(), Optional.empty(), TIMEOUTS);
     }
--- a/plantainferry-network/src/test/java/org/plantainferry/network/target/NettyTargetConnectorTest.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/target/NettyTargetConnectorTest.java
@@ -226,7 +226,7 @@
                             })) {
                 TargetConnection connection = await(mConnector.connect(server.address()));
                 CompletableFuture<TargetResponse> answer = connection.send(put(), TIMEOUT_MILLIS);
-                answer.exceptionally(error -> null).get();
+                await(answer.exceptionally(error -> null));
                 if (answer.isCompletedExceptionally()) {
                     failsWith(answer, Verdict.MAY_HAVE_RUN);
                     assertFalse(connection.isOpen(), "seed " + seed + " round " + round);
