--- a/plantainferry-network/src/test/java/org/plantainferry/network/peer/NettyPeerTransportTest.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/peer/NettyPeerTransportTest.java
@@ -164,6 +164,17 @@
         }
     }
 
+    /** Guards against connections from an address other than the one of the instance. */
+    @Test
+    public void bindsTheLocalAddress() throws Exception {
+        InetAddress local = InetAddress.getByName("127.0.0.2");
+        try (ScriptedServer server = new ScriptedServer(socket -> socket.getInputStream().read())) {
+            NettyPeerTransport caller = transport(echo(), Optional.empty(), local);
+            caller.call(server.address(), request(1), TIMEOUT_MILLIS);
+            assertEquals(server.nextSocket().getInetAddress(), local);
+        }
+    }
+
     /** Guards against unbounded memory for a peer that does not answer. */
     @Test
     public void boundsPendingCalls() throws Exception {
@@ -281,13 +292,14 @@
     }
 
     private NettyPeerTransport transport(PeerHandler handler, Optional<PeerTls> tls) {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        NettyPeerTransport transport =
-                new NettyPeerTransport(
-                        mGroup,
-                        new PeerSettings(
-                                new InetSocketAddress(loopback, 0), Optional.of(loopback), tls, 16),
-                        handler);
+        return transport(handler, tls, InetAddress.getLoopbackAddress());
+    }
+
+    private NettyPeerTransport transport(
+            PeerHandler handler, Optional<PeerTls> tls, InetAddress local) {
+        PeerSettings settings =
+                new PeerSettings(new InetSocketAddress(local, 0), Optional.of(local), tls, 16);
+        NettyPeerTransport transport = new NettyPeerTransport(mGroup, settings, handler);
         mTransports.add(transport);
         return transport;
     }
