Record call histories and check the promises from them

Each checker decides only what is certain from the calls, the events of the run and the final log of the group, and is tested on a bad and a good history.

--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/history/LogIndex.java
@@ -0,0 +1,41 @@
+package org.plantainferry.verification.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.plantainferry.verification.standin.group.LogEntry;
+
+/** Finds the log entries of unique values. */
+final class LogIndex {
+    private final Map<String, List<LogEntry>> mEntries = new HashMap<>();
+
+    LogIndex(GroupTruth truth) {
+        for (LogEntry entry : truth.entries()) {
+            for (String statement : entry.statements()) {
+                mEntries.computeIfAbsent(Call.valueOf(statement), key -> new ArrayList<>())
+                        .add(entry);
+            }
+        }
+    }
+
+    static Map<String, LogIndex> of(History history) {
+        Map<String, LogIndex> indexes = new HashMap<>();
+        history.truths().forEach((service, truth) -> indexes.put(service, new LogIndex(truth)));
+        return indexes;
+    }
+
+    int count(String value) {
+        return entries(value).size();
+    }
+
+    List<LogEntry> entries(String value) {
+        return mEntries.getOrDefault(value, List.of());
+    }
+
+    /** Returns the place of a value in the log; empty when it is not there. */
+    Optional<Long> position(String value) {
+        return entries(value).stream().findFirst().map(LogEntry::position);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/history/TransactionChecker.java
@@ -0,0 +1,123 @@
+package org.plantainferry.verification.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.plantainferry.verification.standin.group.LogEntry;
+
+/**
+ * Checks that the writes of a transaction are one log entry or none, and nobody else's are in it.
+ *
+ * <p>Only writes that were acknowledged inside the transaction must be in the entry; a commit that
+ * was answered as not run, or a rollback that was acknowledged, leaves no entry.
+ *
+ * @since 0.1
+ */
+public final class TransactionChecker implements Checker {
+    private static final class Writes {
+        private final Set<String> mSent = new HashSet<>();
+        private final Set<String> mAcknowledged = new HashSet<>();
+        private boolean mCommitted;
+        private boolean mMayHaveCommitted;
+    }
+
+    @Override
+    public String name() {
+        return "transactions";
+    }
+
+    @Override
+    public List<String> check(History history) {
+        Map<String, Writes> transactions = new LinkedHashMap<>();
+        Map<String, String> owners = new HashMap<>();
+        for (CallRecord record : history.calls()) {
+            Call call = record.call();
+            call.transaction()
+                    .ifPresent(
+                            id -> {
+                                String name = call.service() + " " + id;
+                                add(record, transactions.computeIfAbsent(name, n -> new Writes()));
+                                owners.put(call.service() + " " + call.value(), name);
+                            });
+        }
+        List<String> broken = new ArrayList<>();
+        Map<String, Integer> counts = new HashMap<>();
+        history.truths()
+                .forEach(
+                        (service, truth) ->
+                                truth.entries()
+                                        .forEach(
+                                                entry ->
+                                                        checkEntry(
+                                                                service,
+                                                                entry,
+                                                                transactions,
+                                                                owners,
+                                                                counts,
+                                                                broken)));
+        transactions.forEach(
+                (name, writes) -> checkCount(name, writes, counts.getOrDefault(name, 0), broken));
+        return broken;
+    }
+
+    private static void add(CallRecord record, Writes writes) {
+        if (record.is(Operation.TRANSACTION_WRITE)) {
+            writes.mSent.add(record.call().value());
+            if (record.isSuccess()) {
+                writes.mAcknowledged.add(record.call().value());
+            }
+        } else if (record.is(Operation.COMMIT)) {
+            writes.mCommitted |= record.isSuccess();
+            writes.mMayHaveCommitted |= !record.isNotRun();
+        }
+    }
+
+    private static void checkEntry(
+            String service,
+            LogEntry entry,
+            Map<String, Writes> transactions,
+            Map<String, String> owners,
+            Map<String, Integer> counts,
+            List<String> broken) {
+        Set<String> names = new HashSet<>();
+        Set<String> values = new HashSet<>();
+        for (String statement : entry.statements()) {
+            values.add(Call.valueOf(statement));
+            names.add(owners.getOrDefault(service + " " + Call.valueOf(statement), ""));
+        }
+        if (names.size() > 1) {
+            broken.add(
+                    service
+                            + " entry "
+                            + entry.position()
+                            + " mixes "
+                            + names
+                            + ": "
+                            + entry.statement());
+        }
+        for (String name : names) {
+            Writes writes = transactions.get(name);
+            if (writes == null) {
+                continue;
+            }
+            counts.merge(name, 1, Integer::sum);
+            if (!values.containsAll(writes.mAcknowledged)) {
+                broken.add(name + " is incomplete in entry " + entry.position());
+            }
+        }
+    }
+
+    private static void checkCount(String name, Writes writes, int count, List<String> broken) {
+        if (count > 1) {
+            broken.add(name + " is in " + count + " entries");
+        } else if (writes.mCommitted && !writes.mAcknowledged.isEmpty() && count == 0) {
+            broken.add(name + " was committed but is not in the log");
+        } else if (!writes.mMayHaveCommitted && count > 0) {
+            broken.add(name + " is in the log without a commit");
+        }
+    }
+}
