--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Environment.java
@@ -0,0 +1,122 @@
+package org.plantainferry.verification.scenario;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.plantainferry.api.session.SessionTokenCodec;
+import org.plantainferry.network.store.HttpPlatformStore;
+import org.plantainferry.network.store.PlatformStore;
+import org.plantainferry.network.store.StoreTimeouts;
+import org.plantainferry.verification.history.GroupTruth;
+import org.plantainferry.verification.history.HistoryRecorder;
+import org.plantainferry.verification.standin.relay.TcpRelay;
+import org.plantainferry.verification.standin.store.StoreStandIn;
+
+/** Holds everything that runs during a scenario, and ends all of it. */
+final class Environment implements AutoCloseable {
+    private static final String SECRET = "scenario-session-secret";
+    private static final long SETTLE_MILLIS = 2_000;
+
+    private final Scenario mScenario;
+    private final HistoryRecorder mRecorder;
+    private final FreePorts mPorts = new FreePorts();
+    private final StoreStandIn mStore;
+    private final TcpRelay mRelay = new TcpRelay();
+    private final Groups mGroups;
+    private final EventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final PlatformStore mStoreClient;
+    private final ConfigurationWriter mWriter;
+    private final Fleet mFleet;
+    private final Map<String, String> mKeys;
+
+    Environment(Scenario scenario, Path directory, HistoryRecorder recorder) throws IOException {
+        mScenario = scenario;
+        mRecorder = recorder;
+        mStore = new StoreStandIn(new InetSocketAddress("127.0.0.1", 0));
+        mGroups = new Groups(scenario.deployment(), mPorts);
+        mStoreClient =
+                new HttpPlatformStore(
+                        mLoops,
+                        "127.0.0.1:" + mStore.address().getPort(),
+                        Optional.empty(),
+                        StoreTimeouts.DEFAULT);
+        mWriter = new ConfigurationWriter(mStoreClient, recorder);
+        mFleet = new Fleet(scenario, mPorts, mStore, mRelay, recorder, directory);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(scenario.seed());
+        mKeys = FirstConfiguration.keys(scenario, random);
+        mKeys.values().forEach(key -> mGroups.all().forEach(group -> group.forbid(key)));
+        Files.writeString(directory.resolve("secret"), SECRET);
+    }
+
+    void start() throws InterruptedException {
+        mWriter.writeFirst(FirstConfiguration.build(mScenario, mGroups, mKeys));
+        mFleet.startAll();
+        // Membership and shares need a few heartbeats before the load means anything.
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+    }
+
+    SessionTokenCodec tokens() {
+        return new SessionTokenCodec(List.of(SECRET.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    Scenario scenario() {
+        return mScenario;
+    }
+
+    HistoryRecorder recorder() {
+        return mRecorder;
+    }
+
+    StoreStandIn store() {
+        return mStore;
+    }
+
+    TcpRelay relay() {
+        return mRelay;
+    }
+
+    Groups groups() {
+        return mGroups;
+    }
+
+    Fleet fleet() {
+        return mFleet;
+    }
+
+    ConfigurationWriter writer() {
+        return mWriter;
+    }
+
+    String key(String keyId) {
+        return mKeys.get(keyId);
+    }
+
+    Map<String, GroupTruth> truths() {
+        Map<String, GroupTruth> truths = new TreeMap<>();
+        mScenario.deployment().services().forEach(s -> truths.put(s, mGroups.truth(s)));
+        return truths;
+    }
+
+    @Override
+    public void close() {
+        mFleet.close();
+        mStoreClient.close();
+        mLoops.shutdownGracefully(0, SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+        mGroups.close();
+        mRelay.close();
+        mStore.close();
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Groups.java
@@ -0,0 +1,171 @@
+package org.plantainferry.verification.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.plantainferry.api.json.Json;
+import org.plantainferry.verification.history.GroupTruth;
+import org.plantainferry.verification.standin.group.GroupSettings;
+import org.plantainferry.verification.standin.group.GroupStandIn;
+import org.plantainferry.verification.standin.group.LogEntry;
+
+/** Runs the database groups of a deployment in this process. */
+final class Groups implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final String PRIMARY = "primary";
+
+    /** Shows what a server reports of itself. */
+    record ServerState(String server, String role, long term, long position, long confirmed) {}
+
+    private final HttpClient mHttp = HttpClient.newHttpClient();
+    private final Map<String, GroupStandIn> mGroups = new TreeMap<>();
+
+    Groups(Deployment deployment, FreePorts ports) {
+        for (String service : deployment.services()) {
+            List<GroupSettings.Server> servers =
+                    deployment.servers(service).stream()
+                            .map(name -> new GroupSettings.Server(name, ports.address(HOST)))
+                            .toList();
+            mGroups.put(
+                    service,
+                    new GroupStandIn(
+                            new GroupSettings(
+                                    service,
+                                    ports.address(HOST),
+                                    servers,
+                                    Optional.of(deployment.slots()),
+                                    Optional.empty(),
+                                    Optional.of(deployment.connectionLimit()),
+                                    Optional.of(deployment.openMillis()),
+                                    Optional.empty(),
+                                    Optional.empty(),
+                                    Optional.empty(),
+                                    Optional.empty())));
+        }
+    }
+
+    GroupStandIn group(String service) {
+        return mGroups.get(service);
+    }
+
+    Collection<GroupStandIn> all() {
+        return mGroups.values();
+    }
+
+    GroupStandIn groupOf(String server) {
+        return mGroups.values().stream()
+                .filter(group -> group.serverNames().contains(server))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    String address(String service, String server) {
+        InetSocketAddress address = group(service).address(server);
+        return HOST + ":" + address.getPort();
+    }
+
+    List<ServerState> states(String service) {
+        List<ServerState> states = new ArrayList<>();
+        for (JsonNode state : control(service, "states")) {
+            states.add(
+                    new ServerState(
+                            state.get("server").asText(),
+                            state.get("role").asText(),
+                            state.get("term").asLong(),
+                            state.get("position").asLong(),
+                            state.get("confirmedPosition").asLong()));
+        }
+        return states;
+    }
+
+    /** Returns the primary of the highest term; empty while there is none. */
+    Optional<String> primary(String service) {
+        return states(service).stream()
+                .filter(state -> state.role().equals(PRIMARY))
+                .max(Comparator.comparingLong(ServerState::term))
+                .map(ServerState::server);
+    }
+
+    GroupTruth truth(String service) {
+        GroupStandIn group = group(service);
+        List<ServerState> states = states(service);
+        List<LogEntry> latest = List.of();
+        for (String server : group.serverNames()) {
+            List<LogEntry> log = group.log(server);
+            if (isLater(log, latest)) {
+                latest = log;
+            }
+        }
+        List<String> mistakes = new ArrayList<>();
+        group.failure().ifPresent(failure -> mistakes.add(service + ": " + failure));
+        for (ServerState state : states) {
+            List<LogEntry> log = group.log(state.server());
+            for (int i = 0; i < Math.min(state.confirmed(), log.size()); i++) {
+                if (i >= latest.size()
+                        || !latest.get(i).statement().equals(log.get(i).statement())) {
+                    mistakes.add(state.server() + " differs at confirmed position " + (i + 1));
+                    break;
+                }
+            }
+        }
+        return new GroupTruth(service, latest, mistakes, group.violationCount(), leaving(service));
+    }
+
+    private static boolean isLater(List<LogEntry> log, List<LogEntry> other) {
+        if (log.isEmpty() || other.isEmpty()) {
+            return other.isEmpty();
+        }
+        long term = log.get(log.size() - 1).term();
+        long otherTerm = other.get(other.size() - 1).term();
+        return term != otherTerm ? term > otherTerm : log.size() > other.size();
+    }
+
+    private List<GroupTruth.LeavingWork> leaving(String service) {
+        List<GroupTruth.LeavingWork> all = new ArrayList<>();
+        for (JsonNode work : control(service, "counts").get("leaving")) {
+            all.add(
+                    new GroupTruth.LeavingWork(
+                            work.get("server").asText(),
+                            work.get("newWork").asLong(),
+                            work.get("lastNewWorkAfterMillis").asLong()));
+        }
+        return all;
+    }
+
+    private JsonNode control(String service, String name) {
+        int port = group(service).controlAddress().getPort();
+        URI uri = URI.create("http://" + HOST + ":" + port + "/control/" + name);
+        try {
+            return Json.strict()
+                    .readTree(
+                            mHttp.send(
+                                            HttpRequest.newBuilder(uri).build(),
+                                            HttpResponse.BodyHandlers.ofString())
+                                    .body());
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("unreadable answer of " + uri, e);
+        } catch (IOException e) {
+            throw new IllegalStateException("no answer of " + uri, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        mGroups.values().forEach(GroupStandIn::close);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Measures.java
@@ -0,0 +1,161 @@
+package org.plantainferry.verification.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.plantainferry.verification.history.Answer;
+import org.plantainferry.verification.history.CallRecord;
+import org.plantainferry.verification.history.History;
+import org.plantainferry.verification.history.HistoryEvent;
+import org.plantainferry.verification.history.Operation;
+import org.plantainferry.verification.history.RateLimit;
+
+/** Computes the measures of section 2.3 of the design page from a history. */
+final class Measures {
+    private static final double PERCENT = 100;
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long FAILOVER_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(15);
+    private static final int DIGITS = 3;
+    private static final String REPLICA = "replica";
+    private static final String RATE_EXCEEDED = "RATE_EXCEEDED";
+
+    private final History mHistory;
+
+    Measures(History history) {
+        mHistory = history;
+    }
+
+    /** Returns the percentage of successful reads outside transactions served by replicas. */
+    double replicaShare() {
+        List<CallRecord> reads =
+                mHistory.calls().stream()
+                        .filter(c -> c.call().operation().isPlainRead() && c.isSuccess())
+                        .toList();
+        long atReplicas =
+                reads.stream().filter(c -> c.answer().orElseThrow().role().equals(REPLICA)).count();
+        return reads.isEmpty() ? 0 : PERCENT * atReplicas / reads.size();
+    }
+
+    /**
+     * Returns, for each fault of a primary, the longest time in seconds without an acknowledged
+     * write of the service in the 15 s after it, with the fault's service.
+     */
+    List<Map.Entry<String, Double>> failoverGaps() {
+        List<Map.Entry<String, Double>> gaps = new ArrayList<>();
+        mHistory.events(HistoryEvent.Kind.PRIMARY_FAULT)
+                .forEach(event -> gaps.add(Map.entry(event.subject(), gap(event))));
+        return gaps;
+    }
+
+    private double gap(HistoryEvent fault) {
+        List<Long> ends =
+                mHistory.calls().stream()
+                        .filter(c -> c.call().service().equals(fault.subject()))
+                        .filter(c -> c.is(Operation.WRITE) || c.is(Operation.COMMIT))
+                        .filter(CallRecord::isSuccess)
+                        .map(CallRecord::endNanos)
+                        .sorted()
+                        .toList();
+        long lastCall = mHistory.calls().get(mHistory.calls().size() - 1).endNanos();
+        long until = Math.min(fault.nanos() + FAILOVER_WINDOW_NANOS, lastCall);
+        long before = fault.nanos();
+        long longest = 0;
+        for (long end : ends) {
+            if (end > fault.nanos() && end <= until) {
+                longest = Math.max(longest, end - before);
+                before = end;
+            }
+        }
+        longest = Math.max(longest, until - before);
+        return longest / NANOS_PER_SECOND;
+    }
+
+    /** Returns the percentage of charged requests refused although a token was certainly left. */
+    double wrongfulRefusals() {
+        long charged =
+                mHistory.calls().stream()
+                        .filter(c -> c.call().operation().isCharged() && c.answer().isPresent())
+                        .count();
+        long wrongful = 0;
+        Map<String, List<CallRecord>> byWorkspace =
+                mHistory.callsBy(record -> record.call().workspace());
+        for (Map.Entry<String, RateLimit> limit : mHistory.limits().entrySet()) {
+            wrongful +=
+                    wrongful(byWorkspace.getOrDefault(limit.getKey(), List.of()), limit.getValue());
+        }
+        return charged == 0 ? 0 : PERCENT * wrongful / charged;
+    }
+
+    /** Counts refusals for which even the fullest possible bucket had room. */
+    private static long wrongful(List<CallRecord> calls, RateLimit limit) {
+        List<CallRecord> granted =
+                calls.stream()
+                        .filter(c -> c.call().operation().isCharged())
+                        .filter(c -> c.answer().map(a -> !a.isNotRun()).orElse(true))
+                        .toList();
+        return calls.stream()
+                .filter(c -> c.answer().map(Answer::code).orElse("").equals(RATE_EXCEEDED))
+                .filter(refused -> level(granted, refused, limit) + 1 <= limit.burst())
+                .count();
+    }
+
+    /**
+     * Returns the fill of a bucket in which each request is charged as late as it can have been.
+     */
+    private static double level(List<CallRecord> granted, CallRecord refused, RateLimit limit) {
+        double level = 0;
+        long last = 0;
+        List<Long> charges =
+                granted.stream()
+                        .filter(c -> c.startNanos() < refused.endNanos())
+                        .map(c -> Math.min(c.endNanos(), refused.startNanos()))
+                        .sorted()
+                        .toList();
+        for (long charge : charges) {
+            level = Math.max(0, level - leaked(charge - last, limit, last)) + 1;
+            last = charge;
+        }
+        return Math.max(0, level - leaked(refused.startNanos() - last, limit, last));
+    }
+
+    private static double leaked(long nanos, RateLimit limit, long last) {
+        return last == 0 ? 0 : limit.ratePerSecond() * nanos / NANOS_PER_SECOND;
+    }
+
+    /** Returns one line for each workspace: successes, refusals by code, p50 and p99. */
+    List<String> workspaces() {
+        List<String> lines = new ArrayList<>();
+        mHistory.callsBy(record -> record.call().workspace())
+                .forEach((workspace, calls) -> lines.add(workspace(workspace, calls)));
+        return lines;
+    }
+
+    private static String workspace(String workspace, List<CallRecord> calls) {
+        Histogram histogram = new Histogram(DIGITS);
+        Map<String, Integer> others = new TreeMap<>();
+        for (CallRecord call : calls) {
+            if (call.isSuccess()) {
+                histogram.recordValue(
+                        Math.max(
+                                0,
+                                TimeUnit.NANOSECONDS.toMicros(
+                                        call.endNanos() - call.startNanos())));
+            } else {
+                others.merge(
+                        call.answer().map(Answer::code).orElse(call.outcome().name()),
+                        1,
+                        Integer::sum);
+            }
+        }
+        return String.format(
+                "workspace %s: %d ran, p50 %.1f ms, p99 %.1f ms, others %s",
+                workspace,
+                histogram.getTotalCount(),
+                histogram.getValueAtPercentile(50) / 1_000.0,
+                histogram.getValueAtPercentile(99) / 1_000.0,
+                others);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Observer.java
@@ -0,0 +1,88 @@
+package org.plantainferry.verification.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.json.Json;
+import org.plantainferry.verification.history.VersionSample;
+
+/** Polls the configuration version of every instance, and watches for pauses of this process. */
+final class Observer implements AutoCloseable {
+    private static final long POLL_MILLIS = 500;
+    private static final long PULSE_MILLIS = 10;
+
+    private final Environment mEnvironment;
+    private final Thread mPoller = new Thread(this::poll, "version-poller");
+    private final Thread mPulse = new Thread(this::pulse, "pulse");
+    private volatile boolean mClosed;
+    private volatile long mLongestPauseMillis;
+
+    Observer(Environment environment) {
+        mEnvironment = environment;
+        mPoller.setDaemon(true);
+        mPulse.setDaemon(true);
+        mPoller.start();
+        mPulse.start();
+    }
+
+    /** Returns by how much the machine delayed a thread at most; it bounds all measured times. */
+    long longestPauseMillis() {
+        return mLongestPauseMillis;
+    }
+
+    private void poll() {
+        try {
+            while (!mClosed) {
+                for (String name : mEnvironment.fleet().names()) {
+                    sample(name);
+                }
+                TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void sample(String name) throws InterruptedException {
+        DaemonProcess process = mEnvironment.fleet().process(name);
+        if (!process.process().isAlive()) {
+            return;
+        }
+        long sent = System.nanoTime();
+        Optional<String> body = mEnvironment.fleet().get(name, "/operator/status");
+        if (body.isEmpty() || process != mEnvironment.fleet().process(name)) {
+            return;
+        }
+        try {
+            long version =
+                    Json.strict().readTree(body.get()).path("configurationVersion").asLong(-1);
+            mEnvironment
+                    .recorder()
+                    .add(
+                            new VersionSample(
+                                    name, process.incarnation(), sent, System.nanoTime(), version));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("unreadable status of " + name, e);
+        }
+    }
+
+    private void pulse() {
+        try {
+            while (!mClosed) {
+                long before = System.nanoTime();
+                TimeUnit.MILLISECONDS.sleep(PULSE_MILLIS);
+                long late = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - before);
+                mLongestPauseMillis = Math.max(mLongestPauseMillis, late - PULSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mPoller.interrupt();
+        mPulse.interrupt();
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Scenario.java
@@ -0,0 +1,56 @@
+package org.plantainferry.verification.scenario;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.plantainferry.verification.history.RateLimit;
+
+/** Holds a parsed scenario. */
+record Scenario(
+        long seed,
+        Deployment deployment,
+        int instancesPerDomain,
+        List<Workspace> workspaces,
+        Load load,
+        List<TimedAction> actions,
+        List<Expectation> expectations) {
+    /** Describes a workspace; it has the keys NAME-a and NAME-b. */
+    record Workspace(String name, double rate, double burst) {
+        List<String> keyIds() {
+            return List.of(name + "-a", name + "-b");
+        }
+    }
+
+    /** Describes the clients. */
+    record Load(int writers, int readers, int transactions, long millis) {}
+
+    /** Describes an action at a time after the start of the load. */
+    record TimedAction(long atMillis, ActionKind kind, List<String> arguments, int line) {}
+
+    /**
+     * Describes what is expected besides unbroken promises; the limit is in the unit of its kind.
+     */
+    record Expectation(ExpectationKind kind, double limit) {}
+
+    enum ExpectationKind {
+        NO_BROKEN_PROMISE,
+        FAILOVER_BELOW_SECONDS,
+        REPLICA_SHARE_ABOVE_PERCENT,
+        WRONGFUL_REFUSALS_BELOW_PERCENT
+    }
+
+    Scenario withSeed(long otherSeed) {
+        return new Scenario(
+                otherSeed, deployment, instancesPerDomain, workspaces, load, actions, expectations);
+    }
+
+    List<String> instances() {
+        return deployment.instances(instancesPerDomain);
+    }
+
+    Map<String, RateLimit> limits() {
+        Map<String, RateLimit> limits = new TreeMap<>();
+        workspaces.forEach(each -> limits.put(each.name(), new RateLimit(each.rate, each.burst)));
+        return limits;
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioRunner.java
@@ -0,0 +1,136 @@
+package org.plantainferry.verification.scenario;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.plantainferry.verification.history.Checker;
+import org.plantainferry.verification.history.Checkers;
+import org.plantainferry.verification.history.History;
+import org.plantainferry.verification.history.HistoryRecorder;
+
+/** Runs a scenario against real instances and reports what its history shows. */
+final class ScenarioRunner {
+    private static final int EXAMPLES = 3;
+    private static final long AFTER_HEAL_MILLIS = 2_000;
+
+    private final Scenario mScenario;
+    private final Path mDirectory;
+    private final PrintStream mOut;
+    private boolean mBroken;
+
+    ScenarioRunner(Scenario scenario, Path directory, PrintStream out) {
+        mScenario = scenario;
+        mDirectory = directory;
+        mOut = out;
+    }
+
+    /** Returns whether every promise and expectation held. */
+    boolean run() throws IOException, InterruptedException {
+        Files.createDirectories(mDirectory);
+        HistoryRecorder recorder = new HistoryRecorder(mDirectory.resolve("history.jsonl"));
+        Environment environment = new Environment(mScenario, mDirectory, recorder);
+        // Instances must not outlive this process, whether it fails or is interrupted.
+        Thread hook = new Thread(environment.fleet()::close, "end-instances");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try (environment) {
+            environment.start();
+            ActionRunner actions = new ActionRunner(environment);
+            long pause;
+            try (Observer observer = new Observer(environment)) {
+                runLoad(environment, actions);
+                pause = observer.longestPauseMillis();
+            }
+            report(recorder.history(environment.truths(), mScenario.limits()), actions, pause);
+        } finally {
+            environment.fleet().close();
+            recorder.close();
+        }
+        return !mBroken;
+    }
+
+    private void runLoad(Environment environment, ActionRunner actions)
+            throws InterruptedException {
+        Workload workload = new Workload(environment);
+        long start = System.nanoTime();
+        workload.start();
+        for (Scenario.TimedAction action : mScenario.actions()) {
+            sleepUntil(start, action.atMillis());
+            actions.run(action);
+        }
+        sleepUntil(start, mScenario.load().millis());
+        workload.end();
+        actions.healAll();
+        TimeUnit.MILLISECONDS.sleep(AFTER_HEAL_MILLIS);
+    }
+
+    private static void sleepUntil(long startNanos, long millis) throws InterruptedException {
+        long until = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, until - System.nanoTime()));
+    }
+
+    private void report(History history, ActionRunner actions, long pauseMillis) {
+        mOut.println("seed " + mScenario.seed());
+        boolean isExpected =
+                isExpected(Scenario.ExpectationKind.NO_BROKEN_PROMISE)
+                        || mScenario.expectations().isEmpty();
+        for (Checker checker : Checkers.all()) {
+            verdict(checker.name(), checker.check(history), isExpected);
+        }
+        verdict("operators", actions.operatorMistakes(), isExpected);
+        Measures measures = new Measures(history);
+        mOut.printf("replica share %.1f%%%n", measures.replicaShare());
+        List<Map.Entry<String, Double>> gaps = measures.failoverGaps();
+        gaps.forEach(gap -> mOut.printf("failover gap %s %.2f s%n", gap.getKey(), gap.getValue()));
+        mOut.printf("wrongful refusals %.3f%%%n", measures.wrongfulRefusals());
+        measures.workspaces().forEach(mOut::println);
+        mOut.println("calls " + history.calls().size());
+        mOut.println("longest pause of the runner " + pauseMillis + " ms");
+        for (Scenario.Expectation expectation : mScenario.expectations()) {
+            check(expectation, measures, gaps);
+        }
+    }
+
+    private boolean isExpected(Scenario.ExpectationKind kind) {
+        return mScenario.expectations().stream().anyMatch(each -> each.kind() == kind);
+    }
+
+    private void verdict(String name, List<String> broken, boolean isExpected) {
+        mOut.println(name + (broken.isEmpty() ? " kept" : " BROKEN " + broken.size() + " times"));
+        broken.stream().limit(EXAMPLES).forEach(text -> mOut.println("  " + text));
+        mBroken |= isExpected && !broken.isEmpty();
+    }
+
+    private void check(
+            Scenario.Expectation expectation,
+            Measures measures,
+            List<Map.Entry<String, Double>> gaps) {
+        double limit = expectation.limit();
+        boolean holds =
+                switch (expectation.kind()) {
+                    case NO_BROKEN_PROMISE -> true;
+                    case FAILOVER_BELOW_SECONDS ->
+                            gaps.stream().allMatch(gap -> gap.getValue() < limit);
+                    case REPLICA_SHARE_ABOVE_PERCENT -> measures.replicaShare() > limit;
+                    case WRONGFUL_REFUSALS_BELOW_PERCENT -> measures.wrongfulRefusals() < limit;
+                };
+        if (!holds) {
+            mOut.println("MISSED " + expectation.kind() + " " + limit);
+            mBroken = true;
+        }
+    }
+
+    /** Removes the files of a run. */
+    static void deleteFiles(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioSyntaxException.java
@@ -0,0 +1,10 @@
+package org.plantainferry.verification.scenario;
+
+/** Reports the line of a scenario that cannot be read, and why. */
+final class ScenarioSyntaxException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    ScenarioSyntaxException(int line, String reason) {
+        super("line " + line + ": " + reason);
+    }
+}
