--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ActionRunner.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ActionRunner.java
@@ -136,6 +136,12 @@
 
     private void leave(String server) {
         mEnvironment.fleet().record(HistoryEvent.Kind.SERVER_LEAVING, server);
+        for (String service : mEnvironment.scenario().deployment().services()) {
+            if (mEnvironment.groups().primary(service).filter(server::equals).isPresent()) {
+                // No write can run until another server is promoted.
+                mEnvironment.fleet().record(HistoryEvent.Kind.PRIMARY_FAULT, service);
+            }
+        }
         group(server).setLeaving(server, true);
     }
 
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Environment.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Environment.java
@@ -66,6 +66,7 @@
         mFleet.startAll();
         // Membership and shares need a few heartbeats before the load means anything.
         TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        mFleet.warmUp();
     }
 
     SessionTokenCodec tokens() {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Fleet.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Fleet.java
@@ -8,10 +8,12 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.network.store.InstanceRecord;
@@ -25,6 +27,9 @@
 final class Fleet implements AutoCloseable {
     private static final String RELAY_HOST = "127.0.0.1";
     private static final long READY_SECONDS = 40;
+    private static final int WARM_UP_CALLS = 60;
+    private static final long WARM_UP_PAUSE_MILLIS = 10;
+    private static final long WARM_UP_TIMEOUT_SECONDS = 10;
     private static final long READY_POLL_MILLIS = 100;
 
     private final HttpClient mHttp =
@@ -192,6 +197,32 @@
         }
     }
 
+    /** Sends reads to every instance that are not recorded, so that its code is compiled. */
+    void warmUp() throws InterruptedException {
+        String body = "{\"statement\":\"GET warm-up\"}";
+        for (int round = 0; round < WARM_UP_CALLS; round++) {
+            List<CompletableFuture<HttpResponse<Void>>> calls = new ArrayList<>();
+            for (String name : names()) {
+                URI uri =
+                        URI.create(
+                                "http://"
+                                        + callerAddress(name)
+                                        + "/v1/open/"
+                                        + FirstConfiguration.OPEN_ROUTE);
+                HttpRequest request =
+                        HttpRequest.newBuilder(uri)
+                                .timeout(Duration.ofSeconds(WARM_UP_TIMEOUT_SECONDS))
+                                .POST(HttpRequest.BodyPublishers.ofString(body))
+                                .build();
+                calls.add(mHttp.sendAsync(request, HttpResponse.BodyHandlers.discarding()));
+            }
+            for (CompletableFuture<HttpResponse<Void>> call : calls) {
+                call.handle((answer, failure) -> answer).join();
+            }
+            TimeUnit.MILLISECONDS.sleep(WARM_UP_PAUSE_MILLIS);
+        }
+    }
+
     void record(HistoryEvent.Kind kind, String subject) {
         mRecorder.add(new HistoryEvent(System.nanoTime(), kind, subject, 0));
     }
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Observer.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Observer.java
@@ -1,6 +1,9 @@
 package org.plantainferry.verification.scenario;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.json.Json;
@@ -30,6 +33,14 @@
         return mLongestPauseMillis;
     }
 
+    /** Writes the last status of each instance to a file, for the search for causes. */
+    void writeStatuses(Path directory) throws IOException, InterruptedException {
+        for (String name : mEnvironment.fleet().names()) {
+            Optional<String> status = mEnvironment.fleet().get(name, "/operator/status");
+            Files.writeString(directory.resolve(name + ".status.json"), status.orElse(""));
+        }
+    }
+
     private void poll() {
         try {
             while (!mClosed) {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Scenario.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Scenario.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.plantainferry.verification.history.RateLimit;
 
@@ -14,8 +15,12 @@
         Load load,
         List<TimedAction> actions,
         List<Expectation> expectations) {
-    /** Describes a workspace; it has the keys NAME-a and NAME-b. */
-    record Workspace(String name, double rate, double burst) {
+    /**
+     * Describes a workspace; it has the keys NAME-a and NAME-b.
+     *
+     * @param instance the instance that all its clients call; empty for random ones
+     */
+    record Workspace(String name, double rate, double burst, Optional<String> instance) {
         List<String> keyIds() {
             return List.of(name + "-a", name + "-b");
         }
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioParser.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioParser.java
@@ -19,7 +19,7 @@
     private static final Pattern WORKSPACE =
             Pattern.compile(
                     "workspace ([a-z0-9][a-z0-9-]*) rate (\\d+(?:\\.\\d+)?)"
-                            + " burst (\\d+(?:\\.\\d+)?)");
+                            + " burst (\\d+(?:\\.\\d+)?)(?: at (\\S+))?");
     private static final Pattern LOAD =
             Pattern.compile(
                     "load writers (\\d{1,3}) readers (\\d{1,3}) transactions (\\d{1,3})"
@@ -123,7 +123,8 @@
         if (rate <= 0 || burst < 1) {
             throw new ScenarioSyntaxException(line, "rate must be above 0 and burst at least 1");
         }
-        mWorkspaces.add(new Scenario.Workspace(name, rate, burst));
+        mWorkspaces.add(
+                new Scenario.Workspace(name, rate, burst, Optional.ofNullable(matcher.group(4))));
     }
 
     private void addExpectation(String statement, int line) throws ScenarioSyntaxException {
@@ -166,6 +167,17 @@
             throw new ScenarioSyntaxException(
                     lastLine, count + " instances are not between 1 and " + MAX_INSTANCES);
         }
+        for (Scenario.Workspace workspace : scenario.workspaces()) {
+            if (workspace.instance().filter(i -> !scenario.instances().contains(i)).isPresent()) {
+                throw new ScenarioSyntaxException(
+                        lastLine, "workspace " + workspace.name() + " names no known instance");
+            }
+        }
+        checkActions(scenario);
+        checkHeals(scenario);
+    }
+
+    private static void checkActions(Scenario scenario) throws ScenarioSyntaxException {
         long before = 0;
         for (Scenario.TimedAction action : scenario.actions()) {
             if (action.atMillis() < before) {
@@ -183,7 +195,6 @@
                         action.line());
             }
         }
-        checkHeals(scenario);
     }
 
     private static void checkHeals(Scenario scenario) throws ScenarioSyntaxException {
