Stay fresh when a newer configuration comes into force; report sent reads as possibly run

Cause: a new version dropped the confirmation of the older one, so each change made the instance isolated until the store confirmed the new version (4 to 400 ms in the logs of two daemons), and keyed requests were refused meanwhile. Change: the time at which an older version was the newest bounds what can be unknown under the newer one as well, so the confirmation is kept. The focused test fails before the change.

A read or statement that was sent and got no answer now says MAY_HAVE_RUN: it may have run at the server even though nothing lasts. A commit that is asked for again with its idempotency key finds its answer at the primary. A caller waits at most 100 ms for a grant.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PeerForwarder.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PeerForwarder.java
@@ -6,7 +6,6 @@
 import java.util.function.Supplier;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
-import org.plantainferry.api.StatementKind;
 import org.plantainferry.api.Verdict;
 import org.plantainferry.api.session.SessionTokenCodec;
 import org.plantainferry.engine.membership.Member;
@@ -47,11 +46,10 @@
         long remaining = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - now);
         return mPeers.get()
                 .call(instance.peerAddress(), message, Math.max(1, remaining) + MARGIN_MILLIS)
-                .handle((answer, failure) -> answer(request, answer, failure));
+                .handle(PeerForwarder::answer);
     }
 
-    private static CallerAnswer answer(
-            CallerRequest request, PeerMessage answer, Throwable failure) {
+    private static CallerAnswer answer(PeerMessage answer, Throwable failure) {
         if (failure == null && answer.hasForwardAnswer()) {
             return ForwardCodec.read(answer.getForwardAnswer());
         }
@@ -60,20 +58,11 @@
                 new PlantainferryException(
                         ErrorCode.PEER_UNAVAILABLE,
                         "the instance that holds the connections did not answer",
-                        verdict(request, sent),
+                        sent,
                         RETRY_MILLIS,
                         failure));
     }
 
-    /** Only a single write and a commit can have had an effect that lasts. */
-    private static Verdict verdict(CallerRequest request, Verdict sent) {
-        boolean isLasting =
-                request.operation() == Operation.COMMIT
-                        || (request.operation() == Operation.STATEMENT
-                                && request.kind() == StatementKind.WRITE);
-        return isLasting ? sent : Verdict.NOT_RUN;
-    }
-
     /** Runs a request that another instance forwarded, and returns the answer message. */
     public CompletableFuture<PeerMessage> onRequest(
             ForwardRequest message, CallerAuthority authority, TrafficDirector director) {
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
@@ -9,7 +9,6 @@
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.api.ServerId;
-import org.plantainferry.api.StatementKind;
 import org.plantainferry.api.Verdict;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.retry.FailedAttempt;
@@ -137,19 +136,11 @@
         mAnswer.complete(
                 CallerAnswer.refusal(
                         new PlantainferryException(
-                                code, message, verdictForCaller(), retryAfterMillis, null)));
+                                code, message, mVerdict, retryAfterMillis, null)));
     }
 
     void fail(PlantainferryException error) {
         mVerdict = mVerdict.combine(error.verdict());
         fail(error.code(), error.getMessage(), error.retryAfterMillis());
     }
-
-    /** A read changes nothing, so a read without a result counts as not run. */
-    private Verdict verdictForCaller() {
-        boolean isReadOnly = mRequest.kind() == StatementKind.READ;
-        return isReadOnly && mRequest.operation() == Operation.STATEMENT
-                ? Verdict.NOT_RUN
-                : mVerdict;
-    }
 }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
@@ -173,22 +173,20 @@
         request.succeed(mLane.sender().answers().result(session, mServer.server(), result));
     }
 
-    /** Only a commit can leave the outcome open; everything else was rolled back. */
+    /** Reports the loss; only a commit can leave the outcome of the transaction open. */
     private void failLost(PendingRequest request, Verdict verdict) {
         boolean isUncertain =
                 request.request().operation() == Operation.COMMIT
                         && verdict == Verdict.MAY_HAVE_RUN;
-        if (isUncertain) {
-            request.fail(
-                    new PlantainferryException(
-                            ErrorCode.OUTCOME_UNKNOWN,
-                            "the commit was not confirmed",
-                            Verdict.MAY_HAVE_RUN,
-                            0,
-                            null));
-            return;
-        }
-        request.fail(ErrorCode.TRANSACTION_LOST, "the transaction was rolled back", 0);
+        request.fail(
+                new PlantainferryException(
+                        isUncertain ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.TRANSACTION_LOST,
+                        isUncertain
+                                ? "the commit was not confirmed"
+                                : "the transaction was rolled back",
+                        verdict,
+                        0,
+                        null));
     }
 
     /** Ends the transaction from outside: its key was withdrawn, or it was idle for too long. */
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -113,6 +113,9 @@
         if (request.request().operation() == Operation.BEGIN) {
             return TargetProtocol.begin(term);
         }
+        if (request.request().operation() == Operation.COMMIT) {
+            return TargetProtocol.commit(term, request.requestId());
+        }
         return TargetProtocol.statement(
                 request.request().kind(),
                 request.request().statement(),
@@ -328,6 +331,11 @@
 
     private void onRefusal(InFlight inFlight, TargetRefusal refusal) {
         PendingRequest request = inFlight.request();
+        if (request.request().operation() == Operation.COMMIT
+                && refusal.reason() == RefusalReason.BAD_STATEMENT) {
+            failUnknownCommit(request);
+            return;
+        }
         FailureCause cause = causeOf(refusal.reason());
         boolean isWrongServer = cause == FailureCause.BEHIND || cause == FailureCause.WRONG_SERVER;
         if (isWrongServer) {
@@ -342,6 +350,17 @@
                 "the server refused the request (" + refusal.reason().wireName() + ")" + detail);
     }
 
+    /** The primary does not know the commit, but an earlier attempt may still be on its way. */
+    private static void failUnknownCommit(PendingRequest request) {
+        request.fail(
+                new PlantainferryException(
+                        ErrorCode.TRANSACTION_LOST,
+                        "the transaction is not open and its commit is not known",
+                        Verdict.MAY_HAVE_RUN,
+                        0,
+                        null));
+    }
+
     static FailureCause causeOf(RefusalReason reason) {
         return switch (reason) {
             case STALE_TERM, NOT_PRIMARY, LEAVING -> FailureCause.WRONG_SERVER;
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/TrafficDirector.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/TrafficDirector.java
@@ -28,6 +28,9 @@
     private static final long DRAIN_RETRY_MILLIS = 100;
     private static final long NO_RATE_RETRY_MILLIS = 500;
 
+    /** A caller is held for at most this time before it is refused (design page, section 7). */
+    private static final long LONGEST_GRANT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** A grant usually arrives after one round trip between instances, a few milliseconds. */
     private static final long GRANT_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
 
@@ -75,7 +78,8 @@
         }
         CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
         Acquisition first = bucket.get().tryAcquire(mClock.getAsLong());
-        follow(request, bucket.get(), first, mGroup.next(), answer);
+        long giveUpNanos = mClock.getAsLong() + LONGEST_GRANT_WAIT_NANOS;
+        new GrantWait(request, bucket.get(), giveUpNanos, mGroup.next(), answer).follow(first);
         return answer;
     }
 
@@ -113,44 +117,71 @@
                         null));
     }
 
-    private void follow(
-            CallerRequest request,
-            WorkspaceBucket bucket,
-            Acquisition acquisition,
-            EventLoop loop,
-            CompletableFuture<CallerAnswer> answer) {
-        if (acquisition instanceof Acquisition.Granted) {
-            place(request).thenAccept(answer::complete);
-            return;
-        }
-        if (acquisition instanceof Acquisition.Refused refused) {
-            answer.complete(
+    /** Follows a request that waits for a token. */
+    private final class GrantWait {
+        private final CallerRequest mRequest;
+        private final WorkspaceBucket mBucket;
+        private final long mGiveUpNanos;
+        private final EventLoop mLoop;
+        private final CompletableFuture<CallerAnswer> mAnswer;
+
+        GrantWait(
+                CallerRequest request,
+                WorkspaceBucket bucket,
+                long giveUpNanos,
+                EventLoop loop,
+                CompletableFuture<CallerAnswer> answer) {
+            mRequest = request;
+            mBucket = bucket;
+            mGiveUpNanos = giveUpNanos;
+            mLoop = loop;
+            mAnswer = answer;
+        }
+
+        void follow(Acquisition acquisition) {
+            if (acquisition instanceof Acquisition.Granted) {
+                place(mRequest).thenAccept(mAnswer::complete);
+                return;
+            }
+            if (acquisition instanceof Acquisition.Refused refused) {
+                refuse(refused.retryAfterMillis());
+                return;
+            }
+            long left = mGiveUpNanos - mClock.getAsLong();
+            if (left <= 0) {
+                refuse(NO_RATE_RETRY_MILLIS);
+                return;
+            }
+            mRates.requestGrant();
+            long wait = Math.min(GRANT_POLL_NANOS, ((Acquisition.Wait) acquisition).nanos());
+            mLoop.schedule(
+                    () -> follow(mBucket.retryAcquire(mClock.getAsLong())),
+                    Math.min(wait, left),
+                    TimeUnit.NANOSECONDS);
+        }
+
+        private void refuse(long retryAfterMillis) {
+            mAnswer.complete(
                     CallerAnswer.refusal(
                             new PlantainferryException(
                                     ErrorCode.RATE_EXCEEDED,
                                     "the rate and burst of workspace "
-                                            + request.workspace()
+                                            + mRequest.workspace()
                                             + " are used up",
                                     Verdict.NOT_RUN,
-                                    refused.retryAfterMillis(),
+                                    retryAfterMillis,
                                     null)));
-            return;
-        }
-        mRates.requestGrant();
-        long wait = Math.min(GRANT_POLL_NANOS, ((Acquisition.Wait) acquisition).nanos());
-        loop.schedule(
-                () -> {
-                    Acquisition next = bucket.retryAcquire(mClock.getAsLong());
-                    follow(request, bucket, next, loop, answer);
-                },
-                wait,
-                TimeUnit.NANOSECONDS);
+        }
     }
 
     private CompletableFuture<CallerAnswer> place(CallerRequest request) {
         if (request.operation().isInsideTransaction()) {
             return inTransaction(request);
         }
+        return atGateway(request);
+    }
+
+    private CompletableFuture<CallerAnswer> atGateway(CallerRequest request) {
         TrafficSnapshot snapshot = mSnapshot.get();
         List<InstanceId> gateways = snapshot.gateways().getOrDefault(request.service(), List.of());
         if (gateways.isEmpty() || gateways.contains(mSelf)) {
@@ -179,18 +210,25 @@
         }
         Optional<Member> member = mSnapshot.get().members().member(holder.get());
         if (member.isEmpty()) {
-            return lostWithInstance(request);
+            return afterTheEnd(request);
         }
         return mForwarder.forward(member.get(), request);
     }
 
-    /** The instance is gone, and its connections with it; only a commit may have run. */
-    private static CompletableFuture<CallerAnswer> lostWithInstance(CallerRequest request) {
+    /**
+     * Answers a request of a transaction that is not open any more.
+     *
+     * <p>A commit may have run; with an idempotency key the primary is asked for its answer.
+     */
+    private CompletableFuture<CallerAnswer> afterTheEnd(CallerRequest request) {
         boolean isCommit = request.operation() == Operation.COMMIT;
+        if (isCommit && request.idempotencyKey().isPresent()) {
+            return atGateway(request);
+        }
         PlantainferryException error =
                 new PlantainferryException(
                         ErrorCode.TRANSACTION_LOST,
-                        "the instance that held the transaction is not available",
+                        "the transaction is not open",
                         isCommit ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
                         0,
                         null);
@@ -201,7 +239,7 @@
         Optional<PinnedTransaction> found =
                 mLanes.transactions().find(id).filter(each -> each.belongsTo(request));
         if (found.isEmpty()) {
-            return lostWithInstance(request);
+            return afterTheEnd(request);
         }
         return pending(
                 request,
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/configuration/ConfigurationFreshness.java
@@ -102,9 +102,9 @@
             mPending = Optional.empty();
             confirm(pending);
         }
-        if (mConfirmation.isPresent() && mConfirmation.get().version() < mVersion) {
-            mConfirmation = Optional.empty();
-        }
+        // That an older version was the newest at a time bounds what can be unknown here as well:
+        // every later version was accepted after that time.
+        mConfirmation = mConfirmation.map(each -> new Confirmation(mVersion, each.nanos()));
     }
 
     /**
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/configuration/ConfigurationFreshnessTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/configuration/ConfigurationFreshnessTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import org.plantainferry.api.FailureDomain;
 import org.plantainferry.engine.membership.FleetSimulation;
 import org.testng.annotations.Test;
 
@@ -55,6 +56,17 @@
         return freshness == Freshness.OUTAGE ? age : 0;
     }
 
+    /** Guards against refusals at each of several hundred configuration changes a day. */
+    @Test
+    public void staysFreshWhenANewerVersionComesIntoForce() {
+        ConfigurationFreshness freshness = new ConfigurationFreshness(new FailureDomain("como-a"));
+        freshness.onVersionInForce(1);
+        freshness.onStoreAnswer(1, SECOND, SECOND);
+        freshness.onVersionInForce(2);
+        assertEquals(freshness.view(2 * SECOND).at(2 * SECOND), Freshness.FRESH);
+        assertEquals(freshness.view(6 * SECOND).at(6 * SECOND), Freshness.ISOLATED);
+    }
+
     @Test
     public void staysFreshWithoutFaultsAndServesAllInAnOutage() {
         FleetSimulation fleet = new FleetSimulation(FIRST_SEED, 3, 4);
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
@@ -95,6 +95,21 @@
         assertTrue(repeated.body().contains("\"result\":\"1\""), repeated.toString());
     }
 
+    @Test
+    public void findsTheAnswerOfACommitAgainThroughAnotherInstance() {
+        String path = TRANSACTIONS + "/" + begin(0);
+        assertTrue(statementIn(path, 0, "ADD handles 3").isResult());
+        Answer first = mFleet.post(0, path + "/commit", "", IDEMPOTENCY_KEY, "commit-1");
+        Answer repeated = mFleet.post(1, path + "/commit", "", IDEMPOTENCY_KEY, "commit-1");
+        assertTrue(first.isResult(), first.toString());
+        assertTrue(repeated.isResult(), repeated.toString());
+        Answer unknown = mFleet.post(1, path + "/commit", "", IDEMPOTENCY_KEY, "commit-2");
+        assertTrue(unknown.body().contains("TRANSACTION_LOST"), unknown.toString());
+        assertEquals(unknown.verdict(), "MAY_HAVE_RUN", unknown.toString());
+        Answer read = mFleet.read(1, "handles", SESSION, repeated.session().orElseThrow());
+        assertTrue(read.body().contains("\"result\":\"3\""), read.toString());
+    }
+
     @Test
     public void refusesBadRequestsWithCodePlaceAndVerdict() {
         String path = "/v1/services/ledger/statements";
