--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/CommandLine.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/CommandLine.java
@@ -30,6 +30,7 @@
         addKey("withdraw", new KeyWithdrawCommand(mOptions, random));
         add("history", new HistoryCommand(mOptions));
         add("drain", new DrainCommand(mOptions));
+        add("check", new CheckCommand());
     }
 
     /** Returns the exit code. */
--- a/plantainferry-cli/src/test/java/org/plantainferry/cli/FleetCommandsTest.java
+++ b/plantainferry-cli/src/test/java/org/plantainferry/cli/FleetCommandsTest.java
@@ -3,6 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import org.plantainferry.cli.InMemoryStore.Fault;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -64,6 +68,23 @@
         assertEquals(mOperator.run("status", "--instance", "operator-of-i2"), 3);
     }
 
+    /** Guards against settings that the daemon would refuse but the check accepts. */
+    @Test
+    public void checkNamesTheMistakesOfSettings() throws IOException {
+        Path directory = Files.createTempDirectory("settings");
+        Path settings = directory.resolve("settings.json");
+        Files.writeString(settings, "{\"instance\": \"i1\", \"colour\": 1}");
+        assertEquals(mOperator.run("check", settings.toString()), 2);
+        assertTrue(mOperator.err().contains("colour = 1: no such setting"), mOperator.err());
+        assertTrue(mOperator.err().contains("store: is missing"), mOperator.err());
+        Files.writeString(directory.resolve("session.secret"), "0123456789abcdef");
+        Files.copy(
+                Path.of("..", "examples", "plantainferryd.json"),
+                settings,
+                StandardCopyOption.REPLACE_EXISTING);
+        assertEquals(mOperator.run("check", settings.toString()), 0);
+    }
+
     /** Guards against orders for instances that do not exist, and orders in doubt. */
     @Test
     public void ordersDrainOnce() {
--- a/plantainferry-daemon/src/test/java/org/plantainferry/daemon/log/LogEventTest.java
+++ b/plantainferry-daemon/src/test/java/org/plantainferry/daemon/log/LogEventTest.java
@@ -1,15 +1,15 @@
 package org.plantainferry.daemon.log;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
+import org.plantainferry.network.log.NetworkEvent;
 import org.testng.annotations.Test;
 
 /** Guards against a catalogue of log events that differs from the code. */
@@ -25,14 +25,13 @@
         while (matcher.find()) {
             documented.put(matcher.group(1), matcher.group(2));
         }
-        TreeMap<String, String> defined =
-                Arrays.stream(LogEvent.values())
-                        .collect(
-                                Collectors.toMap(
-                                        LogEvent::code,
-                                        LogEvent::level,
-                                        (first, second) -> first + " stands twice",
-                                        TreeMap::new));
+        TreeMap<String, String> defined = new TreeMap<>();
+        for (LogEvent event : LogEvent.values()) {
+            assertNull(defined.put(event.code(), event.level()), event.code());
+        }
+        for (NetworkEvent event : NetworkEvent.values()) {
+            assertNull(defined.put(event.code(), event.level()), event.code());
+        }
         assertEquals(documented, defined);
     }
 }
--- /dev/null
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/log/NetworkEvent.java
@@ -0,0 +1,50 @@
+package org.plantainferry.network.log;
+
+import org.jboss.logging.Logger;
+
+/**
+ * Lists the numbered events of the network; docs/log-events.md explains each to operators.
+ *
+ * @since 0.1
+ */
+public enum NetworkEvent {
+    /** A message of a peer cannot be handled. */
+    PEER_MESSAGE_FAILED(6001, Logger.Level.WARN, "cannot handle a message from %s"),
+    /** A connection to or from a peer is closed after an error. */
+    PEER_CONNECTION_CLOSED(6002, Logger.Level.DEBUG, "closing the peer connection %s: %s"),
+    /** A message to an unusable address is dropped. */
+    PEER_MESSAGE_DROPPED(6003, Logger.Level.DEBUG, "dropping a message to %s: %s");
+
+    private static final Logger LOGGER = Logger.getLogger("org.plantainferry.network");
+    private static final String PREFIX = "PF";
+
+    private final int mNumber;
+    private final Logger.Level mLevel;
+    private final String mFormat;
+
+    NetworkEvent(int number, Logger.Level level, String format) {
+        mNumber = number;
+        mLevel = level;
+        mFormat = format;
+    }
+
+    /** Returns the code of the event, as {@code PF6001}. */
+    public String code() {
+        return PREFIX + mNumber;
+    }
+
+    /** Returns the level with which the event is logged. */
+    public String level() {
+        return mLevel.name();
+    }
+
+    /** Writes the event to the log; arguments must not contain keys or secrets. */
+    public void log(Object... arguments) {
+        LOGGER.logf(mLevel, code() + " " + mFormat, arguments);
+    }
+
+    /** Writes the event to the log with the stack trace of its cause. */
+    public void logWithCause(Throwable cause, Object... arguments) {
+        LOGGER.logf(mLevel, cause, code() + " " + mFormat, arguments);
+    }
+}
--- a/plantainferry-network/src/main/java/org/plantainferry/network/peer/NettyPeerTransport.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/NettyPeerTransport.java
@@ -22,10 +22,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
-import org.jboss.logging.Logger;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.api.Preconditions;
+import org.plantainferry.network.log.NetworkEvent;
 import org.plantainferry.network.peer.generated.PeerMessage;
 
 /**
@@ -38,7 +38,6 @@
  * @since 0.1
  */
 public final class NettyPeerTransport implements PeerTransport {
-    private static final Logger LOG = Logger.getLogger(NettyPeerTransport.class);
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long HANDSHAKE_TIMEOUT_MILLIS = 2_000;
@@ -81,7 +80,7 @@
         try {
             link(address).send(message.toBuilder().clearCall().build());
         } catch (PlantainferryException e) {
-            LOG.debugf("PF0203 dropping a message to %s: %s", address, e.getMessage());
+            NetworkEvent.PEER_MESSAGE_DROPPED.log(address, e.getMessage());
         }
     }
 
--- a/plantainferry-network/src/main/java/org/plantainferry/network/peer/PeerListenerHandler.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/PeerListenerHandler.java
@@ -4,12 +4,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.concurrent.CompletableFuture;
-import org.jboss.logging.Logger;
+import org.plantainferry.network.log.NetworkEvent;
 import org.plantainferry.network.peer.generated.PeerMessage;
 
 /** Hands the messages of one incoming connection on and sends the answers back. */
 final class PeerListenerHandler extends SimpleChannelInboundHandler<PeerMessage> {
-    private static final Logger LOG = Logger.getLogger(PeerListenerHandler.class);
 
     private final PeerHandler mHandler;
     private final int mMaximumInProgress;
@@ -28,7 +27,7 @@
         try {
             answer = mHandler.handle(message);
         } catch (RuntimeException e) {
-            LOG.warnf(e, "PF0201 cannot handle a message from %s", context.channel());
+            NetworkEvent.PEER_MESSAGE_FAILED.logWithCause(e, context.channel());
             return;
         }
         long call = message.getCall();
@@ -59,7 +58,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOG.debugf("PF0202 closing the peer connection %s: %s", context.channel(), cause);
+        NetworkEvent.PEER_CONNECTION_CLOSED.log(context.channel(), cause);
         context.close();
     }
 
@@ -68,7 +67,7 @@
         mInProgress--;
         pace(context);
         if (error != null) {
-            LOG.warnf(error, "PF0201 cannot handle a message from %s", context.channel());
+            NetworkEvent.PEER_MESSAGE_FAILED.logWithCause(error, context.channel());
         } else if (value != null) {
             context.writeAndFlush(value.toBuilder().setCall(call).build());
         }
