--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
@@ -29,7 +29,9 @@
 import org.plantainferry.daemon.http.CallerServer;
 import org.plantainferry.daemon.http.OperatorServer;
 import org.plantainferry.daemon.log.LogEvent;
+import org.plantainferry.daemon.metrics.InstanceMetrics;
 import org.plantainferry.daemon.metrics.RequestMetrics;
+import org.plantainferry.daemon.metrics.StatementMetrics;
 import org.plantainferry.daemon.settings.DaemonSettings;
 import org.plantainferry.daemon.settings.SessionSecrets;
 import org.plantainferry.daemon.settings.TlsContexts;
@@ -37,6 +39,7 @@
 import org.plantainferry.daemon.traffic.LaneDirectory;
 import org.plantainferry.daemon.traffic.PeerForwarder;
 import org.plantainferry.daemon.traffic.SnapshotAuthority;
+import org.plantainferry.daemon.traffic.StatementCounter;
 import org.plantainferry.daemon.traffic.TrafficDirector;
 import org.plantainferry.daemon.traffic.TrafficSnapshot;
 import org.plantainferry.engine.drain.DrainCause;
@@ -102,7 +105,9 @@
         ProbeConnections probes = new ProbeConnections(mTargets);
         ControlPlaneFactory factory =
                 new ControlPlaneFactory(context(settings, clock), mPeers, probes, snapshot);
-        LaneDirectory lanes = lanes(settings, clock, authority, factory, probes, tokens);
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        StatementCounter counter = new StatementMetrics(registry);
+        LaneDirectory lanes = lanes(settings, clock, authority, factory, probes, tokens, counter);
         mControl = factory.create(lanes);
         PeerForwarder forwarder = new PeerForwarder(() -> mPeers, tokens, clock);
         TrafficDirector director =
@@ -115,8 +120,8 @@
                         mGroup,
                         clock);
         factory.connect(dispatcher, message -> forwarder.onRequest(message, authority, director));
-        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         mMetrics = new RequestMetrics(registry);
+        InstanceMetrics.register(registry, snapshot::get, lanes, mLoop);
         mCallers = callers(settings, tls, authority, tokens, director, clock);
         StatusWriter status = new StatusWriter(mControl);
         mOperators =
@@ -152,7 +157,8 @@
             CallerAuthority authority,
             ControlPlaneFactory factory,
             ProbeConnections probes,
-            SessionTokenCodec tokens) {
+            SessionTokenCodec tokens,
+            StatementCounter counter) {
         return new LaneDirectory(
                 settings.instance(),
                 mGroup,
@@ -163,7 +169,8 @@
                 authority,
                 factory.events(),
                 probes,
-                tokens);
+                tokens,
+                counter);
     }
 
     private PeerTransport peers(
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/AnswerWriter.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/AnswerWriter.java
@@ -9,12 +9,15 @@
 /** Turns results of targets into answers with a session token. */
 final class AnswerWriter {
     private final SessionTokenCodec mTokens;
+    private final StatementCounter mCounter;
 
-    AnswerWriter(SessionTokenCodec tokens) {
+    AnswerWriter(SessionTokenCodec tokens, StatementCounter counter) {
         mTokens = tokens;
+        mCounter = counter;
     }
 
     CallerAnswer result(SessionRequirement session, ServerId server, StatementResult result) {
+        mCounter.count(session.service(), result.role().wireName());
         StatementAnswerBody body =
                 new StatementAnswerBody(
                         result.result(),
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
@@ -63,7 +63,8 @@
             CallerAuthority authority,
             TrafficEvents events,
             StateReader states,
-            SessionTokenCodec tokens) {
+            SessionTokenCodec tokens,
+            StatementCounter counter) {
         mGroup = group;
         mConnector = connector;
         mRandoms = randoms;
@@ -73,7 +74,7 @@
         mEvents = events;
         mStates = states;
         mTransactions = new TransactionRegistry(instance);
-        mAnswers = new AnswerWriter(tokens);
+        mAnswers = new AnswerWriter(tokens, counter);
     }
 
     Optional<ServiceLane> lane(ServiceName service) {
