Run the idle work of the limits less often

Cause: the limits' tick ran every 10 ms over all workspaces, and rebuilt the view of the failure domain each time. Change: a tick every 40 ms, at once when a caller waits, and a view at most every 200 ms.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlPlane.java
@@ -186,7 +186,8 @@
                         mFleet.configuration().parts().workspaces());
             }
         }
-        mGateways = gateways;
+        // Publishing copies the map, which costs nothing for one that is immutable already.
+        mGateways = Map.copyOf(gateways);
     }
 
     private void offer(String json) {
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
@@ -34,10 +34,15 @@
 
 /** Holds share slots, deposits them and lends those of others. */
 final class LimitController implements RateGate {
-    private static final long TICK_MILLIS = 10;
+    /** A caller that waits for a grant runs a tick at once, so idle ticks may be rare. */
+    private static final long TICK_MILLIS = 40;
     private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
     private static final long LIST_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int CANDIDATES = 2;
+
+    /** Slots change with the membership, so the view may be older than a tick. */
+    private static final long VIEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     private static final String SLOTS = "slots/";
 
     private final ControlContext mContext;
@@ -51,6 +56,8 @@
     private final String mSlotPath;
     private final long mStartedNanos;
     private final AtomicBoolean mTickRequested = new AtomicBoolean();
+    private DomainView mView;
+    private long mViewNanos;
     private int mUsableSlots;
 
     LimitController(ControlContext context, FleetState fleet, PeerTransport peers) {
@@ -90,14 +97,16 @@
     private void tick() {
         mTickRequested.set(false);
         long now = mContext.now();
+        if (mViewNanos == 0 || now - mViewNanos >= VIEW_NANOS) {
+            mViewNanos = now;
+            mView = domainView(now);
+        }
         boolean wasBlocked = !mGuard.maySpend();
-        DomainView view = domainView(now);
-        boolean hasOthers = view.listed().size() > 1 || view.live().size() > 1;
-        mGuard.tick(now, hasOthers);
+        mGuard.tick(now, mView.listed().size() > 1 || mView.live().size() > 1);
         if (!mGuard.maySpend() && !wasBlocked) {
             mClaims.requestRead();
         }
-        mClaims.decide(now, view, mHolder.runningDeposits(now)).ifPresent(this::carryOut);
+        mClaims.decide(now, mView, mHolder.runningDeposits(now)).ifPresent(this::carryOut);
         int usable = mGuard.maySpend() ? mClaims.usableSlots(now) : 0;
         if (usable != mUsableSlots) {
             LogEvent.SLOTS_CHANGED.log(usable);
