--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/history/ReadYourWritesChecker.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/history/ReadYourWritesChecker.java
@@ -10,7 +10,8 @@
  *
  * <p>Values are unique, so the final log tells the place of each. A read that started after the
  * acknowledgement of a write of the same session to the same key must return a value whose place is
- * not before that write.
+ * not before that write, and the position of its answer must not be before any acknowledged write
+ * or commit of the session.
  *
  * @since 0.1
  */
@@ -43,7 +44,13 @@
             if (record.is(Operation.WRITE)) {
                 index.position(call.value())
                         .ifPresent(position -> written.merge(key, position, Math::max));
-            } else if (call.operation().isPlainRead() && written.containsKey(key)) {
+                written.merge(call.service(), position(record), Math::max);
+            } else if (record.is(Operation.COMMIT)) {
+                written.merge(call.service(), position(record), Math::max);
+            } else if (call.operation().isPlainRead()) {
+                checkPosition(record, written.getOrDefault(call.service(), 0L), broken);
+            }
+            if (call.operation().isPlainRead() && written.containsKey(key)) {
                 long read =
                         record.answer().flatMap(Answer::result).flatMap(index::position).orElse(0L);
                 if (read < written.get(key)) {
@@ -57,4 +64,19 @@
             }
         }
     }
+
+    private static void checkPosition(CallRecord record, long least, List<String> broken) {
+        if (position(record) < least) {
+            broken.add(
+                    record.describe()
+                            + " was served at position "
+                            + position(record)
+                            + " after its write or commit at "
+                            + least);
+        }
+    }
+
+    private static long position(CallRecord record) {
+        return record.answer().orElseThrow().position();
+    }
 }
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioRunner.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/ScenarioRunner.java
@@ -14,6 +14,7 @@
 import org.plantainferry.verification.history.Checkers;
 import org.plantainferry.verification.history.History;
 import org.plantainferry.verification.history.HistoryRecorder;
+import org.plantainferry.verification.history.Measures;
 
 /** Runs a scenario against real instances and reports what its history shows. */
 final class ScenarioRunner {
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/history/SessionCheckersTest.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/history/SessionCheckersTest.java
@@ -29,6 +29,20 @@
                 twoWrites().call(Operation.READ, "GET k", 5, 6, ran("k:2", 1, 2)));
     }
 
+    @Test
+    public void findsReadThatMissesTheOwnCommit() {
+        HistoryBuilder committed =
+                new HistoryBuilder().call(Operation.COMMIT, "", 1, 2, ran("OK", 1, 7));
+        assertBroken(
+                new ReadYourWritesChecker(),
+                0,
+                committed.call(Operation.READ, "GET k", 3, 4, ran("", 1, 7)));
+        assertBroken(
+                new ReadYourWritesChecker(),
+                1,
+                committed.call(Operation.READ, "GET k", 5, 6, ran("", 1, 6)));
+    }
+
     @Test
     public void findsReadsThatGoBack() {
         HistoryBuilder back = twoWrites().call(Operation.READ, "GET k", 5, 6, ran("k:2", 1, 2));
