--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
@@ -11,6 +11,12 @@
     // Demand is an average over 200 ms; the surplus covers its growth until the next request.
     private static final double HEADROOM = 1.25;
 
+    private static final double SCARCE = 3;
+
+    // Below this rate an ask for each request costs little, and tokens spread over many buckets
+    // would be missing where the next request arrives.
+    private static final double SLOW = 15;
+
     private final Map<InstanceId, Double> mRates = new HashMap<>();
     private final double mTotalRate;
     private final double mTotalCapacity;
@@ -24,8 +30,6 @@
             int slots,
             double reservePart) {
         mTotalRate = slots * terms.ratePerSecond();
-        mReserve = slots * terms.capacity() * reservePart;
-        mTotalCapacity = slots * terms.capacity() - mReserve;
         Map<InstanceId, Double> wants = new HashMap<>();
         borrowers.forEach(
                 (instance, share) -> {
@@ -34,6 +38,10 @@
                     }
                 });
         mActive = wants.size();
+        // Without competition a reserve would only make the burst smaller; a second borrower gets
+        // its tokens by a recall.
+        mReserve = mActive > 1 ? slots * terms.capacity() * reservePart : 0;
+        mTotalCapacity = slots * terms.capacity() - mReserve;
         // A starving borrower's smoothed demand lags behind, so it counts as an equal part.
         wants.replaceAll(
                 (instance, want) ->
@@ -84,6 +92,13 @@
         return least + (mTotalCapacity - mActive * least) * part(instance);
     }
 
+    /** Returns whether the part is so small that tokens are better lent one by one. */
+    boolean isScarce(InstanceId instance) {
+        return mActive > 1
+                && mRates.containsKey(instance)
+                && (capacity(instance) < SCARCE || rate(instance) < SLOW);
+    }
+
     double reserve() {
         return mReserve;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -97,21 +97,22 @@
         }
         double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
         mTokensToReturn = 0;
-        mAskSent = mBucket.isStarving();
+        int waiting = mBucket.waiting();
+        mAskSent = waiting > 0;
         return new ShareRequest.Share(
                 mName,
                 depositedSlots,
                 depositedSlots > 0 || tokens > 0 ? tokens : 0,
                 mBucket.demandPerSecond(nowNanos),
                 mBucket.grantTokens(nowNanos),
-                mAskSent);
+                waiting);
     }
 
     /** Returns whether this instance needs the allocator for the workspace. */
     boolean isInterested(long nowNanos, int usableSlots) {
         return usableSlots > 0
                 || mTokensToReturn > 0
-                || mBucket.isStarving()
+                || mBucket.waiting() > 0
                 || mBucket.hasGrant(nowNanos)
                 || mBucket.demandPerSecond(nowNanos) > 0;
     }
@@ -126,8 +127,7 @@
                         grant.tokens(),
                         sentAt + grant.validNanos());
         boolean fruitful = mBucket.tokens(nowNanos) >= 1;
-        // The answer to a request that did not ask says nothing about an ask: an idle instance is
-        // granted nothing, and its next caller must still be able to ask at once.
+        // A caller that began to wait after the request left has not been asked for yet.
         if (mAskSent && (fruitful || !grant.moreSoon())) {
             mAskSent = false;
             mBucket.endAsk(nowNanos, fruitful);
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -18,6 +18,10 @@
     private static final Acquisition.Granted GRANTED = new Acquisition.Granted();
     private static final long FIRST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(10);
     private static final long LONGEST_BACKOFF = TimeUnit.MILLISECONDS.toNanos(320);
+
+    // Tokens that are on their way between instances are missing for some milliseconds; a short
+    // queue covers that, and is short enough for an overloaded workspace to be refused soon.
+    private static final long LONGEST_QUEUE = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RETRY_AFTER_UNKNOWN = TimeUnit.MILLISECONDS.toNanos(500);
 
     // Sums of binary fractions may miss a whole token by a rounding error.
@@ -35,9 +39,10 @@
     private long mNow;
     private long mWaitUntil;
     private long mNextAsk;
+    private long mPromisedUntil;
     private long mBackoff = FIRST_BACKOFF;
-    private boolean mAskWanted;
-    private boolean mStarving;
+    private volatile boolean mAskWanted;
+    private int mWaiting;
 
     /** Creates an empty bucket. */
     public WorkspaceBucket(long nowNanos) {
@@ -46,6 +51,7 @@
         mGrantUntil = nowNanos;
         mWaitUntil = nowNanos;
         mNextAsk = nowNanos;
+        mPromisedUntil = nowNanos;
         mDemand = new DemandMeter(nowNanos);
     }
 
@@ -53,16 +59,16 @@
     public synchronized Acquisition tryAcquire(long nowNanos) {
         advance(nowNanos);
         mDemand.count(mNow);
-        return acquire();
+        return acquire(true);
     }
 
     /** Tries again for a request that was told to wait; it does not count as demand again. */
     public synchronized Acquisition retryAcquire(long nowNanos) {
         advance(nowNanos);
-        return acquire();
+        return acquire(false);
     }
 
-    private Acquisition acquire() {
+    private Acquisition acquire(boolean first) {
         if (mPermanentTokens + mGrantTokens >= ONE_TOKEN) {
             double fromGrant = Math.min(1, mGrantTokens);
             mGrantTokens -= fromGrant;
@@ -70,16 +76,33 @@
             return GRANTED;
         }
         if (mNow - mWaitUntil < 0) {
+            mWaiting += first ? 1 : 0;
             return new Acquisition.Wait(mWaitUntil - mNow);
         }
         if (mNow - mNextAsk >= 0) {
             mAskWanted = true;
-            mStarving = true;
+            mWaiting = 1;
             mWaitUntil = mNow + ShareTiming.LONGEST_WAIT;
             // The ask may never be answered; callers after it are refused for a while.
             mNextAsk = mWaitUntil + mBackoff;
             return new Acquisition.Wait(ShareTiming.LONGEST_WAIT);
         }
+        return waitForDueToken();
+    }
+
+    /** Queues the request when a token is due soon, behind those that wait already. */
+    private Acquisition waitForDueToken() {
+        double rate = mPermanentRate + mGrantRate;
+        if (rate > 0) {
+            double missing = 1 - mPermanentTokens - mGrantTokens;
+            long firstDue = mNow + (long) (missing / rate * ShareTiming.NANOS_PER_SECOND);
+            long nextDue = mPromisedUntil + (long) (ShareTiming.NANOS_PER_SECOND / rate);
+            long due = nextDue - firstDue > 0 ? nextDue : firstDue;
+            if (due - mNow <= LONGEST_QUEUE) {
+                mPromisedUntil = due;
+                return new Acquisition.Wait(due - mNow + 1);
+            }
+        }
         return new Acquisition.Refused(retryAfterMillis());
     }
 
@@ -165,18 +188,28 @@
         return tokens - mGrantTokens;
     }
 
-    /** Ends the wait for tokens; a fruitless ask delays the next one, longer each time. */
+    /**
+     * Ends the wait for tokens, if there is one.
+     *
+     * @param fruitful whether tokens came; a fruitless ask delays the next one, longer each time
+     */
     public synchronized void endAsk(long nowNanos, boolean fruitful) {
         advance(nowNanos);
-        if (mNow - mWaitUntil < 0) {
-            mWaitUntil = mNow;
+        if (mWaiting == 0) {
+            return;
         }
+        mWaitUntil = mNow;
         mAskWanted = false;
-        mStarving = false;
+        mWaiting = 0;
         mBackoff = fruitful ? FIRST_BACKOFF : Math.min(LONGEST_BACKOFF, mBackoff * 2);
         mNextAsk = fruitful ? mNow : mNow + mBackoff;
     }
 
+    /** Returns whether a request waits for tokens for which no ask has been sent. */
+    boolean isAskWanted() {
+        return mAskWanted;
+    }
+
     /** Returns whether a request waits for tokens since the last call. */
     public synchronized boolean takeAskWanted() {
         boolean wanted = mAskWanted;
@@ -184,9 +217,9 @@
         return wanted;
     }
 
-    /** Returns whether an ask is unanswered. */
-    public synchronized boolean isStarving() {
-        return mStarving;
+    /** Returns how many requests were told to wait since the last ask ended. */
+    public synchronized int waiting() {
+        return mWaiting;
     }
 
     /** Returns the smoothed number of requests offered each second, including refused ones. */
