--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/history/Measures.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/history/Measures.java
@@ -16,6 +16,8 @@
     private static final double PERCENT = 100;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long FAILOVER_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(15);
+    // On a busy machine a process needs several seconds before it has read the configuration.
+    private static final long START_NANOS = TimeUnit.SECONDS.toNanos(15);
     private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
     private static final String STALE = "CONFIGURATION_STALE";
     private static final int DIGITS = 3;
@@ -97,7 +99,7 @@
 
     /**
      * Counts refusals with {@code CONFIGURATION_STALE} at instances that nothing had cut off from
-     * store or peers, paused or started for 6 s; such an instance has no reason to refuse.
+     * store or peers or paused for 6 s, or started for 15 s; it has no reason to refuse.
      */
     public long needlessStaleRefusals() {
         return mHistory.calls().stream()
@@ -110,7 +112,8 @@
         String instance = record.call().instance();
         long from = record.startNanos() - RECOVERY_NANOS;
         long until = record.endNanos();
-        return mHistory.hasEvent(HistoryEvent.Kind.INSTANCE_STARTED, instance, from, until)
+        return mHistory.hasEvent(
+                        HistoryEvent.Kind.INSTANCE_STARTED, instance, until - START_NANOS, until)
                 || mHistory.wasIn(
                         HistoryEvent.Kind.INSTANCE_CUT,
                         HistoryEvent.Kind.INSTANCE_HEALED,
