Name the instance in every answer, open the callers' listener when configured, drain without cuts

Changes: one place writes all answers; the callers' listener opens when a configuration is in force and confirmed; while draining each answer closes its connection, and the listener refuses for 500 ms more before it closes.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
@@ -42,6 +42,7 @@
 import org.plantainferry.daemon.traffic.StatementCounter;
 import org.plantainferry.daemon.traffic.TrafficDirector;
 import org.plantainferry.daemon.traffic.TrafficSnapshot;
+import org.plantainferry.engine.configuration.Freshness;
 import org.plantainferry.engine.drain.DrainCause;
 import org.plantainferry.engine.drain.DrainPhase;
 import org.plantainferry.engine.routing.ReadPolicy;
@@ -65,6 +66,8 @@
     private static final int DRAIN_POLL_MILLIS = 20;
     private static final long LAST_ANSWERS_MILLIS = 5_000;
     private static final long GROUP_CLOSE_MILLIS = 1_000;
+    private static final long OPEN_POLL_MILLIS = 20;
+    private static final long UNCONFIRMED_START_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final DaemonSettings mSettings;
     private final EventLoopGroup mGroup;
@@ -76,6 +79,9 @@
     private final RequestMetrics mMetrics;
     private final CallerServer mCallers;
     private final OperatorServer mOperators;
+    private final LongSupplier mClock;
+    private final Supplier<TrafficSnapshot> mSnapshot;
+    private volatile boolean mOpen;
 
     /**
      * Opens the peer listener and builds everything else; {@link #start} begins to serve.
@@ -86,6 +92,7 @@
     public InstanceDaemon(DaemonSettings settings) {
         mSettings = settings;
         LongSupplier clock = System::nanoTime;
+        mClock = clock;
         SessionTokenCodec tokens = SessionSecrets.codec(settings.sessionSecretFiles());
         Optional<TlsContexts> tls = settings.tls().map(TlsContexts::read);
         Optional<InetAddress> local = Optional.of(localAddress(settings));
@@ -101,6 +108,7 @@
         mPeers = peers(settings, local, tls, dispatcher);
         AtomicReference<TrafficSnapshot> snapshot =
                 new AtomicReference<>(TrafficSnapshot.initial(clock.getAsLong()));
+        mSnapshot = snapshot::get;
         CallerAuthority authority = new SnapshotAuthority(snapshot::get, clock);
         ProbeConnections probes = new ProbeConnections(mTargets);
         ControlPlaneFactory factory =
@@ -122,12 +130,12 @@
         factory.connect(dispatcher, message -> forwarder.onRequest(message, authority, director));
         mMetrics = new RequestMetrics(registry);
         InstanceMetrics.register(registry, snapshot::get, lanes, mLoop);
-        mCallers = callers(settings, tls, authority, tokens, director, clock);
+        mCallers = callers(settings, tls, authority, tokens, director, snapshot::get, clock);
         StatusWriter status = new StatusWriter(mControl);
         mOperators =
                 new OperatorServer(
                         settings.operatorListener(),
-                        () -> isReady(snapshot.get()),
+                        () -> mOpen && snapshot.get().drain().ready(),
                         registry::scrape,
                         status::write);
     }
@@ -138,6 +146,7 @@
             CallerAuthority authority,
             SessionTokenCodec tokens,
             TrafficDirector director,
+            Supplier<TrafficSnapshot> snapshot,
             LongSupplier clock) {
         return new CallerServer(
                 settings.callerListener(),
@@ -148,6 +157,7 @@
                 settings.defaultDeadlineMillis(),
                 director,
                 mMetrics,
+                () -> !snapshot.get().drain().ready(),
                 clock);
     }
 
@@ -222,15 +232,36 @@
         }
     }
 
-    private static boolean isReady(TrafficSnapshot snapshot) {
-        return snapshot.keys().version() > 0 && snapshot.drain().ready();
-    }
-
-    /** Opens the listeners and starts control. */
+    /**
+     * Starts control and the operators' listener.
+     *
+     * <p>The callers' listener opens when a configuration is in force and confirmed, or some
+     * seconds after the first one when nobody confirms it. Until then an instance could only
+     * refuse.
+     */
     public void start() {
         mControl.start();
         mOperators.start();
+        openWhenConfigured(mClock.getAsLong());
+    }
+
+    private void openWhenConfigured(long configuredNanos) {
+        long now = mClock.getAsLong();
+        TrafficSnapshot snapshot = mSnapshot.get();
+        boolean isConfigured = snapshot.keys().version() > 0;
+        boolean isConfirmed = snapshot.freshness().at(now) != Freshness.ISOLATED;
+        long since = isConfigured ? configuredNanos : now;
+        if (isConfigured && (isConfirmed || now - since >= UNCONFIRMED_START_NANOS)) {
+            open();
+            return;
+        }
+        mGroup.next()
+                .schedule(() -> openWhenConfigured(since), OPEN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void open() {
         mCallers.start();
+        mOpen = true;
         LogEvent.STARTED.log(
                 mSettings.instance(), mSettings.failureDomain(), mSettings.callerListener());
     }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
@@ -36,6 +36,7 @@
 final class LimitController implements RateGate {
     /** A caller that waits for a grant runs a tick at once, so idle ticks may be rare. */
     private static final long TICK_MILLIS = 40;
+
     private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
     private static final long LIST_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int CANDIDATES = 2;
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerHttpHandler.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerHttpHandler.java
@@ -8,6 +8,7 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.InstanceId;
@@ -22,11 +23,13 @@
 final class CallerHttpHandler implements HttpHandler {
     static final int BODY_MAX_BYTES = 64 * 1_024;
     private static final String JSON = "application/json";
+    private static final long CLOSING_RETRY_MILLIS = 100;
 
     private final CallerRequestReader mReader;
     private final RequestGateway mGateway;
     private final RequestTracker mTracker;
     private final InstanceId mInstance;
+    private final BooleanSupplier mDraining;
     private final LongSupplier mClock;
 
     CallerHttpHandler(
@@ -34,11 +37,13 @@
             RequestGateway gateway,
             RequestTracker tracker,
             InstanceId instance,
+            BooleanSupplier draining,
             LongSupplier clock) {
         mReader = reader;
         mGateway = gateway;
         mTracker = tracker;
         mInstance = instance;
+        mDraining = draining;
         mClock = clock;
     }
 
@@ -58,7 +63,7 @@
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (receiver, body) -> start(receiver, body, arrivedNanos),
-                        CallerHttpHandler::refuseUnreadable);
+                        this::refuseUnreadable);
     }
 
     private void start(HttpServerExchange exchange, byte[] body, long arrivedNanos) {
@@ -89,12 +94,11 @@
             LogEvent.REQUEST_ERROR.logWithCause(failure, failure.getMessage());
             given = CallerAnswer.failure(failure);
         }
-        exchange.getResponseHeaders().put(CallerHeaders.INSTANCE, mInstance.value());
         write(exchange, given);
         started.finish(given, mClock.getAsLong());
     }
 
-    private static void refuseUnreadable(HttpServerExchange exchange, IOException error) {
+    private void refuseUnreadable(HttpServerExchange exchange, IOException error) {
         if (error instanceof RequestTooBigException) {
             exchange.setPersistent(false);
             refuse(exchange, ErrorCode.BODY_TOO_LARGE, "the body exceeds " + BODY_MAX_BYTES);
@@ -103,12 +107,30 @@
         refuse(exchange, ErrorCode.REQUEST_MALFORMED, "the body ended early");
     }
 
-    static void refuse(HttpServerExchange exchange, ErrorCode code, String message) {
+    private void refuse(HttpServerExchange exchange, ErrorCode code, String message) {
         write(exchange, CallerAnswer.refusal(new PlantainferryException(code, message)));
     }
 
-    private static void write(HttpServerExchange exchange, CallerAnswer answer) {
+    /** Refuses a request because the listener is about to close. */
+    void refuseClosing(HttpServerExchange exchange) {
+        write(
+                exchange,
+                CallerAnswer.refusal(
+                        new PlantainferryException(
+                                ErrorCode.DRAINING,
+                                "the instance shuts down; use another one",
+                                Verdict.NOT_RUN,
+                                CLOSING_RETRY_MILLIS,
+                                null)));
+    }
+
+    private void write(HttpServerExchange exchange, CallerAnswer answer) {
+        if (mDraining.getAsBoolean()) {
+            // The caller opens its next connection elsewhere, so the end of the listener cuts none.
+            exchange.setPersistent(false);
+        }
         exchange.setStatusCode(answer.status());
+        exchange.getResponseHeaders().put(CallerHeaders.INSTANCE, mInstance.value());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
         Verdict verdict = answer.verdict();
         exchange.getResponseHeaders().put(CallerHeaders.VERDICT, verdict.name());
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerServer.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerServer.java
@@ -5,9 +5,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.GracefulShutdownHandler;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import javax.net.ssl.SSLContext;
-import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.session.SessionTokenCodec;
 import org.plantainferry.daemon.settings.ListenAddress;
@@ -26,14 +27,18 @@
     // Bounds the time that a caller may take to send the rest of a request it began.
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 30_000;
     private static final int BACKLOG = 4_096;
+    // Longer than the way of a request from a caller that has not yet noticed the drain.
+    private static final long LINGER_MILLIS = 500;
 
     private final Undertow mServer;
+    private final CallerHttpHandler mHandler;
     private final GracefulShutdownHandler mShutdown;
     private volatile boolean mClosing;
 
     /**
      * Creates the listener; {@link #start} opens it.
      *
+     * @param draining whether connections are to be closed after their next answer
      * @param clock the monotonic time in nanoseconds
      */
     public CallerServer(
@@ -45,12 +50,12 @@
             long defaultDeadlineMillis,
             RequestGateway gateway,
             RequestTracker tracker,
+            BooleanSupplier draining,
             LongSupplier clock) {
         CallerRequestReader reader =
                 new CallerRequestReader(authority, tokens, defaultDeadlineMillis);
-        mShutdown =
-                new GracefulShutdownHandler(
-                        new CallerHttpHandler(reader, gateway, tracker, instance, clock));
+        mHandler = new CallerHttpHandler(reader, gateway, tracker, instance, draining, clock);
+        mShutdown = new GracefulShutdownHandler(mHandler);
         Undertow.Builder builder =
                 Undertow.builder()
                         .setHandler(this::handle)
@@ -76,8 +81,7 @@
 
     private void handle(HttpServerExchange exchange) throws Exception {
         if (mClosing) {
-            CallerHttpHandler.refuse(
-                    exchange, ErrorCode.DRAINING, "the instance shuts down; use another one");
+            mHandler.refuseClosing(exchange);
             return;
         }
         mShutdown.handleRequest(exchange);
@@ -86,12 +90,16 @@
     /**
      * Refuses new requests and waits until the answers of those in progress are written.
      *
+     * <p>It goes on refusing for a while, so that requests on their way get an answer.
+     *
      * @return whether all ended within the time
      */
     public boolean drain(long millis) throws InterruptedException {
         mClosing = true;
         mShutdown.shutdown();
-        return mShutdown.awaitShutdown(millis);
+        boolean isComplete = mShutdown.awaitShutdown(millis);
+        TimeUnit.MILLISECONDS.sleep(LINGER_MILLIS);
+        return isComplete;
     }
 
     @Override
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/EndToEndTest.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.plantainferry.api.WorkspaceName;
 import org.plantainferry.api.configuration.Configuration;
 import org.plantainferry.api.configuration.ReleaseNote;
@@ -226,6 +228,35 @@
         assertEquals(mFleet.group().violationCount(), 0, "requests that carried a key");
     }
 
+    /** Runs last, since the drained instance is gone afterwards. */
+    @Test(dependsOnMethods = "stopsAWithdrawnKeyAlsoInAnOpenTransaction")
+    public void drainsWithoutCuttingARequest() throws Exception {
+        AtomicBoolean drained = new AtomicBoolean();
+        Map<String, Integer> cut = new ConcurrentSkipListMap<>();
+        List<Thread> callers = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            callers.add(
+                    new Thread(
+                            () -> {
+                                while (!drained.get()) {
+                                    Answer answer =
+                                            mFleet.read(1, "x", "Authorization", bearerOfOther());
+                                    if (answer.status() == 0 && !drained.get()) {
+                                        cut.merge(answer.body(), 1, Integer::sum);
+                                    }
+                                }
+                            }));
+        }
+        callers.forEach(Thread::start);
+        TimeUnit.SECONDS.sleep(1);
+        mFleet.daemon(1).drain();
+        drained.set(true);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        assertEquals(cut, Map.of(), "requests without an answer");
+    }
+
     private static void count(Map<String, Integer> refused, Answer answer) {
         if (!answer.isResult()) {
             refused.merge(answer.body(), 1, Integer::sum);
@@ -258,5 +289,6 @@
         assertTrue(answer.body().contains("\"code\":\"" + code), answer.toString());
         assertTrue(answer.body().contains(place), answer.toString());
         assertEquals(answer.verdict(), "NOT_RUN", answer.toString());
+        assertTrue(answer.instance().isPresent(), "no instance named: " + answer);
     }
 }
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/LocalFleet.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/LocalFleet.java
@@ -55,7 +55,12 @@
     private Configuration mConfiguration;
 
     /** Holds an answer as a caller sees it. */
-    record Answer(int status, String body, Optional<String> session, String verdict) {
+    record Answer(
+            int status,
+            String body,
+            Optional<String> session,
+            String verdict,
+            Optional<String> instance) {
         boolean isResult() {
             return status == 200;
         }
@@ -235,9 +240,10 @@
                     response.statusCode(),
                     response.body(),
                     response.headers().firstValue("Plantainferry-Session"),
-                    response.headers().firstValue("Plantainferry-Verdict").orElse(""));
+                    response.headers().firstValue("Plantainferry-Verdict").orElse(""),
+                    response.headers().firstValue("Plantainferry-Instance"));
         } catch (IOException e) {
-            return new Answer(0, e.toString(), Optional.empty(), "");
+            return new Answer(0, e.toString(), Optional.empty(), "", Optional.empty());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
