--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/LaneDirectory.java
@@ -1,6 +1,5 @@
 package org.plantainferry.daemon.traffic;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.Collection;
 import java.util.List;
@@ -31,7 +30,7 @@
  * @since 0.1
  */
 public final class LaneDirectory {
-    private static final long EVICTION_SECONDS = 10;
+    private static final long EVICTION_MILLIS = 10_000;
     private static final long PROBE_MILLIS = 100;
     private static final long TRANSACTION_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
@@ -90,32 +89,50 @@
         return mTransactions.size();
     }
 
-    /** Takes over a service; creates its lane at first. */
+    /** Takes over a service; creates its lane at first. Called by the control thread only. */
     public void configure(Service service, int instances, List<Workspace> workspaces) {
-        ServiceLane lane = mLanes.computeIfAbsent(service.name(), name -> newLane(service));
-        lane.loop().execute(() -> lane.configure(service, instances, workspaces));
+        ServiceLane lane = mLanes.get(service.name());
+        if (lane == null) {
+            lane = newLane(service);
+            mLanes.put(service.name(), lane);
+            scheduleMaintenance(lane);
+        }
+        ServiceLane configured = lane;
+        configured.loop().execute(() -> configured.configure(service, instances, workspaces));
     }
 
     private ServiceLane newLane(Service service) {
-        EventLoop loop = mGroup.next();
-        ServiceLane lane =
-                new ServiceLane(
-                        service,
-                        loop,
-                        mConnector,
-                        mReadPolicies.get(),
-                        mRandoms.get(),
-                        mClock,
-                        mAuthority,
-                        mEvents,
-                        mStates,
-                        mTransactions,
-                        mAnswers);
-        loop.scheduleAtFixedRate(
-                () -> maintain(lane), EVICTION_SECONDS, EVICTION_SECONDS, TimeUnit.SECONDS);
-        loop.scheduleAtFixedRate(
-                lane::probeUnusable, PROBE_MILLIS, PROBE_MILLIS, TimeUnit.MILLISECONDS);
-        return lane;
+        return new ServiceLane(
+                service,
+                mGroup.next(),
+                mConnector,
+                mReadPolicies.get(),
+                mRandoms.get(),
+                mClock,
+                mAuthority,
+                mEvents,
+                mStates,
+                mTransactions,
+                mAnswers);
+    }
+
+    /** Runs the lane's periodic work until the service is withdrawn. */
+    private void scheduleMaintenance(ServiceLane lane) {
+        repeat(lane, () -> maintain(lane), EVICTION_MILLIS);
+        repeat(lane, lane::probeUnusable, PROBE_MILLIS);
+    }
+
+    private void repeat(ServiceLane lane, Runnable work, long pauseMillis) {
+        lane.loop()
+                .schedule(
+                        () -> {
+                            if (mLanes.get(lane.service().name()) == lane) {
+                                work.run();
+                                repeat(lane, work, pauseMillis);
+                            }
+                        },
+                        pauseMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void maintain(ServiceLane lane) {
@@ -128,7 +145,14 @@
 
     /** Stops serving the services that are not in the collection. */
     public void retain(Collection<ServiceName> services) {
-        mLanes.keySet().retainAll(services);
+        List<ServiceLane> withdrawn =
+                mLanes.values().stream()
+                        .filter(lane -> !services.contains(lane.service().name()))
+                        .toList();
+        for (ServiceLane lane : withdrawn) {
+            mLanes.remove(lane.service().name());
+            lane.loop().execute(lane::retire);
+        }
     }
 
     /** Ends queued requests and open transactions of withdrawn keys. */
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PinnedTransaction.java
@@ -9,6 +9,7 @@
 import org.plantainferry.engine.configuration.KeyReference;
 import org.plantainferry.engine.session.SessionRequirement;
 import org.plantainferry.network.target.RefusalReason;
+import org.plantainferry.network.target.StatementAnswer;
 import org.plantainferry.network.target.StatementResult;
 import org.plantainferry.network.target.TargetConnection;
 import org.plantainferry.network.target.TargetProtocol;
@@ -129,14 +130,15 @@
             failLost(request, StatementSender.verdictOf(failure));
             return;
         }
-        if (TargetProtocol.readStatement(response) instanceof StatementResult result) {
+        StatementAnswer answer = TargetProtocol.readStatement(response);
+        if (answer instanceof StatementResult result) {
             if (operation != Operation.TRANSACTION_STATEMENT) {
                 end(true);
             }
             succeed(request, sentNanos, result);
             return;
         }
-        TargetRefusal refusal = (TargetRefusal) TargetProtocol.readStatement(response);
+        TargetRefusal refusal = (TargetRefusal) answer;
         boolean survives =
                 operation == Operation.TRANSACTION_STATEMENT
                         && refusal.reason() == RefusalReason.BAD_STATEMENT;
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServiceLane.java
@@ -157,6 +157,17 @@
         }
     }
 
+    /** Ends everything that waits here, because the service was withdrawn. */
+    void retire() {
+        for (ServerLane lane : mServers.values()) {
+            for (PendingRequest request : lane.removeIf(each -> true)) {
+                request.fail(ErrorCode.NOT_FOUND, "the service was withdrawn", 0);
+            }
+            lane.evictAll();
+        }
+        mServers.clear();
+    }
+
     private ServerLane newServer(TargetServer target, ConnectionShare share) {
         return new ServerLane(
                 target.id(),
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -17,6 +17,7 @@
 import org.plantainferry.engine.retry.FailureCause;
 import org.plantainferry.engine.routing.ServerRole;
 import org.plantainferry.network.target.RefusalReason;
+import org.plantainferry.network.target.StatementAnswer;
 import org.plantainferry.network.target.StatementResult;
 import org.plantainferry.network.target.TargetConnection;
 import org.plantainferry.network.target.TargetProtocol;
@@ -195,13 +196,14 @@
             long latency,
             long now) {
         ServerLane server = inFlight.server();
-        if (TargetProtocol.readStatement(response) instanceof StatementResult result) {
+        StatementAnswer answer = TargetProtocol.readStatement(response);
+        if (answer instanceof StatementResult result) {
             server.limit().release(ConcurrencyLimit.Outcome.ANSWERED, latency, now);
             observe(server.server(), result, now);
             onResult(connection, inFlight, result);
             return;
         }
-        TargetRefusal refusal = (TargetRefusal) TargetProtocol.readStatement(response);
+        TargetRefusal refusal = (TargetRefusal) answer;
         boolean isBusy = refusal.reason() == RefusalReason.BUSY;
         server.limit()
                 .release(
