Take a failure domain back as a whole after a partition

In a fleet of 520, members of a returned domain stayed suspected for minutes, because each had to be heard of again, and stale suspicions kept circulating. Hearing of any member now takes all back, and an instance that learns of its own suspicion raises its incarnation. Ranking keeps only the highest scores instead of sorting all.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
@@ -47,7 +47,10 @@
     /** The number of unanswered heartbeats in a row that count as evidence. */
     static final int EVIDENCE = 3;
 
+    private static final long SUSPICION_MILLIS = TimeUnit.NANOSECONDS.toMillis(SUSPICION_NANOS);
+
     private static final int MAX_UPDATES = 8;
+    private static final long NEWS_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
     private static final long RELAYED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Added to a relayed age, so that time in transit cannot make a silent peer look younger. */
@@ -57,7 +60,7 @@
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final Member mSelf;
-    private final long mIncarnation;
+    private long mIncarnation;
     private final UniformRandomProvider mRandom;
     private final Map<InstanceId, PeerRecord> mPeers = new TreeMap<>();
 
@@ -124,6 +127,9 @@
         for (MemberUpdate update : heartbeat.members()) {
             if (!update.instance().equals(mSelf.id())) {
                 onUpdate(update, nowNanos);
+            } else if (update.heardAgeMillis() >= SUSPICION_MILLIS) {
+                // A greater incarnation ends a false suspicion wherever it has spread to.
+                mIncarnation = Math.max(mIncarnation, update.incarnation() + 1);
             }
         }
         if (mChanged) {
@@ -224,6 +230,24 @@
                 : Optional.of(record.silence(nowNanos));
     }
 
+    /**
+     * Takes back all members of a failure domain that was silent as a whole, since hearing of each
+     * one again would take long in a large fleet. Those that died meanwhile are suspected anew.
+     */
+    private void welcomeBack(FailureDomain domain, long nowNanos) {
+        Long silence = domainSilence(nowNanos).get(domain);
+        if (isSmall() || silence == null || silence < SUSPICION_NANOS) {
+            return;
+        }
+        for (PeerRecord each : mPeers.values()) {
+            if (each.member() != null && each.member().failureDomain().equals(domain)) {
+                each.restartSilence(nowNanos);
+                each.reportedSuspect(false);
+            }
+        }
+        mChanged = true;
+    }
+
     private void onUpdate(MemberUpdate update, long nowNanos) {
         long age = TimeUnit.MILLISECONDS.toNanos(update.heardAgeMillis() + RELAY_MARGIN_MILLIS);
         PeerRecord record = mPeers.get(update.instance());
@@ -247,6 +271,9 @@
     private void hear(
             InstanceId instance, long incarnation, boolean leaving, long atNanos, long nowNanos) {
         PeerRecord record = record(instance, nowNanos);
+        if (record.member() != null && record.silence(nowNanos) >= SUSPICION_NANOS) {
+            welcomeBack(record.member().failureDomain(), nowNanos);
+        }
         long oldIncarnation = record.incarnation();
         boolean oldLeaving = record.leaving();
         if (record.hear(incarnation, leaving, atNanos)) {
@@ -375,7 +402,8 @@
     private List<MemberUpdate> updates(long nowNanos) {
         Set<InstanceId> chosen = new LinkedHashSet<>();
         // News that has grown old would be read as a suspicion.
-        mNews.keySet().removeIf(each -> !isWorthPassingOn(mPeers.get(each), nowNanos));
+        mNews.keySet()
+                .removeIf(each -> !isWorthPassingOn(mPeers.get(each), NEWS_AGE_NANOS, nowNanos));
         for (InstanceId each : List.copyOf(mNews.keySet())) {
             if (chosen.size() >= MAX_UPDATES) {
                 break;
@@ -389,7 +417,8 @@
         List<InstanceId> fresh = new ArrayList<>();
         mPeers.forEach(
                 (instance, record) -> {
-                    if (!record.reportedSuspect() && isWorthPassingOn(record, nowNanos)) {
+                    if (!record.reportedSuspect()
+                            && isWorthPassingOn(record, RELAYED_AGE_NANOS, nowNanos)) {
                         fresh.add(instance);
                     }
                 });
@@ -402,10 +431,10 @@
         return chosen.stream().map(each -> update(each, nowNanos)).toList();
     }
 
-    private static boolean isWorthPassingOn(PeerRecord record, long nowNanos) {
+    private static boolean isWorthPassingOn(PeerRecord record, long limit, long nowNanos) {
         return record != null
                 && (record.reportedSuspect()
-                        || record.isHeard() && record.silence(nowNanos) <= RELAYED_AGE_NANOS);
+                        || record.isHeard() && record.silence(nowNanos) <= limit);
     }
 
     private MemberUpdate update(InstanceId instance, long nowNanos) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousHash.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousHash.java
@@ -5,13 +5,9 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.FailureDomain;
@@ -68,31 +64,45 @@
     private List<InstanceId> compute(Query query) {
         Preconditions.condition(query.count() >= 0, "count must not be negative");
         long keyHash = hash(query.key());
-        Scored[] scored = new Scored[mHashes.length];
-        for (int i = 0; i < scored.length; i++) {
-            scored[i] =
-                    new Scored(new SplitMix64(mHashes[i] ^ keyHash).nextLong(), mMembers.get(i));
+        long[] scores = new long[mHashes.length];
+        for (int i = 0; i < scores.length; i++) {
+            scores[i] = new SplitMix64(mHashes[i] ^ keyHash).nextLong();
         }
-        Arrays.sort(scored);
-        List<InstanceId> result = new ArrayList<>();
-        Set<FailureDomain> domains = new HashSet<>();
+        List<Integer> ranked = new ArrayList<>();
         if (query.acrossDomains()) {
-            for (Scored each : scored) {
-                if (result.size() < query.count() && domains.add(each.member().failureDomain())) {
-                    result.add(each.member().id());
-                }
+            Map<FailureDomain, Integer> best = new HashMap<>();
+            for (int i = 0; i < scores.length; i++) {
+                best.merge(
+                        mMembers.get(i).failureDomain(),
+                        i,
+                        (a, b) -> scores[b] > scores[a] ? b : a);
             }
+            best.values().forEach(each -> insert(ranked, each, scores, query.count()));
         }
-        Set<InstanceId> chosen = new HashSet<>(result);
-        for (Scored each : scored) {
-            if (result.size() >= query.count()) {
-                break;
+        if (ranked.size() < query.count()) {
+            List<Integer> others = new ArrayList<>();
+            for (int i = 0; i < scores.length; i++) {
+                if (!ranked.contains(i)) {
+                    insert(others, i, scores, query.count() - ranked.size());
+                }
             }
-            if (chosen.add(each.member().id())) {
-                result.add(each.member().id());
+            ranked.addAll(others);
+        }
+        return ranked.stream().map(each -> mMembers.get(each).id()).toList();
+    }
+
+    /** Inserts an index by its score into a sorted list that keeps a number of the highest. */
+    private static void insert(List<Integer> sorted, int index, long[] scores, int limit) {
+        int place = sorted.size();
+        while (place > 0 && scores[sorted.get(place - 1)] < scores[index]) {
+            place--;
+        }
+        if (place < limit) {
+            sorted.add(place, index);
+            if (sorted.size() > limit) {
+                sorted.remove(limit);
             }
         }
-        return List.copyOf(result);
     }
 
     private static long hash(String text) {
@@ -105,16 +115,4 @@
     }
 
     private record Query(String key, int count, boolean acrossDomains) {}
-
-    private record Scored(long score, Member member) implements Comparable<Scored> {
-        private static final Comparator<Scored> ORDER =
-                Comparator.comparingLong(Scored::score)
-                        .reversed()
-                        .thenComparing(each -> each.member().id());
-
-        @Override
-        public int compareTo(Scored other) {
-            return ORDER.compare(this, other);
-        }
-    }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
@@ -316,7 +316,10 @@
         return mPausedUntil.getOrDefault(node, 0L) > mNow;
     }
 
-    /** Runs an action of a node after a time; a pause of the node delays it further. */
+    /**
+     * Runs an action of a node after a time; a pause of the node delays it further, in short steps,
+     * so that {@link #heal} ends the pause at once.
+     */
     private void after(String node, long nanos, Runnable action) {
         mEvents.add(
                 new Event(
@@ -324,7 +327,10 @@
                         mOrder++,
                         () -> {
                             if (isPaused(node)) {
-                                after(node, mPausedUntil.get(node) - mNow, action);
+                                after(
+                                        node,
+                                        Math.min(10 * MILLI, mPausedUntil.get(node) - mNow),
+                                        action);
                             } else {
                                 action.run();
                             }
