--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
@@ -0,0 +1,48 @@
+package org.plantainferry.engine.limit;
+
+import java.util.concurrent.TimeUnit;
+
+/** Smooths the number of offered requests exponentially; not thread-safe. */
+final class DemandMeter {
+    // Short, so that an instance from which the traffic has moved away stops asking soon.
+    private static final double TIME_CONSTANT = TimeUnit.MILLISECONDS.toNanos(200);
+
+    // Below this the workspace counts as idle; one request decays to it in about 1 s.
+    private static final double NEGLIGIBLE = 0.02;
+
+    // A gap of three mean intervals has a chance of 5% in random traffic; a longer one shows that
+    // the traffic has ended, long before the average does.
+    private static final double LONGEST_GAP = 3;
+
+    private double mPerSecond;
+    private long mUpdated;
+    private long mLastCounted;
+
+    DemandMeter(long nowNanos) {
+        mUpdated = nowNanos;
+        mLastCounted = nowNanos;
+    }
+
+    void count(long nowNanos) {
+        decay(nowNanos);
+        mPerSecond += ShareTiming.NANOS_PER_SECOND / TIME_CONSTANT;
+        mLastCounted = nowNanos;
+    }
+
+    double perSecond(long nowNanos) {
+        decay(nowNanos);
+        if (mPerSecond < NEGLIGIBLE) {
+            return 0;
+        }
+        long gap = Math.max(1, nowNanos - mLastCounted);
+        return Math.min(mPerSecond, LONGEST_GAP * ShareTiming.NANOS_PER_SECOND / gap);
+    }
+
+    private void decay(long nowNanos) {
+        long elapsed = nowNanos - mUpdated;
+        if (elapsed > 0) {
+            mPerSecond *= Math.exp(-elapsed / TIME_CONSTANT);
+            mUpdated = nowNanos;
+        }
+    }
+}
