Let later signs of life outrank suspicions and count only witnessed silence

Cause: an instance that adopted a suspicion passed it on with the age of its own last sign of life, and for as long as it held it. In a fleet of 520, stale suspicions from a partition between failure domains were so adopted again by instances that had not heard of the member for 5 s. News was also held up for two minutes after a start, since each first heartbeat counted as news. All instances that started together asked the same peer at the same time in their round robin, so a dead peer could be missed for long.

Change: a suspicion now carries the time at which the instance did not answer (encoded as 5 s plus its age), any later sign of life outranks it, and it is passed on for at most 5 s; probes renew it. A missing answer counts only if another instance of the same failure domain was heard of directly since it was asked for, so a cut between domains is no evidence. A domain that comes back keeps the suspicions from before its silence. The latest news goes first, the first sign of life of a listed instance is no news, and the round robin starts at a random place. The scans of the table on each heartbeat are shorter.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/Member.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/Member.java
@@ -31,9 +31,16 @@
         Preconditions.notNull(operatorAddress, "operatorAddress");
     }
 
-    /** Returns a copy that is leaving, or not. */
+    /** Returns this member as leaving, or not. */
     public Member withLeaving(boolean otherLeaving) {
-        return new Member(
-                id, failureDomain, peerAddress, callerAddress, operatorAddress, otherLeaving);
+        return otherLeaving == leaving
+                ? this
+                : new Member(
+                        id,
+                        failureDomain,
+                        peerAddress,
+                        callerAddress,
+                        operatorAddress,
+                        otherLeaving);
     }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
@@ -1,9 +1,9 @@
 package org.plantainferry.engine.membership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.InstanceId;
@@ -27,7 +28,13 @@
  * <p>With up to {@value #REFRESHED_MEMBERS} instances, silence for {@link #SUSPICION_NANOS} is a
  * suspicion. Eight updates a heartbeat cannot refresh a larger fleet in that time, so there the
  * silence must be longer, unless there is evidence: {@value #EVIDENCE} heartbeats to the instance
- * without an answer, a suspicion reported by a peer, or the silence of its whole failure domain.
+ * without an answer, such evidence of a peer, or the silence of its whole failure domain.
+ *
+ * <p>Evidence carries the time at which the instance did not answer, and a sign of life from a
+ * later time outranks it wherever it meets it. So a suspicion cannot outlive its cause by being
+ * passed on among instances that only adopted it. The age in an update is the age of the sign of
+ * life, or 5 s more than the age of the evidence. Evidence from before the return of a failure
+ * domain is dropped, since it may be due to the lost connection.
  *
  * @since 0.1
  */
@@ -50,7 +57,10 @@
     private static final long SUSPICION_MILLIS = TimeUnit.NANOSECONDS.toMillis(SUSPICION_NANOS);
 
     private static final int MAX_UPDATES = 8;
-    private static final long NEWS_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
+
+    /** The incarnation of an instance that was never heard of. */
+    private static final long UNKNOWN = 0;
+
     private static final long RELAYED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Added to a relayed age, so that time in transit cannot make a silent peer look younger. */
@@ -64,8 +74,10 @@
     private final UniformRandomProvider mRandom;
     private final Map<InstanceId, PeerRecord> mPeers = new TreeMap<>();
 
-    /** Instances with news, and how many more times to pass each on. */
-    private final Map<InstanceId, Integer> mNews = new LinkedHashMap<>();
+    /** The peers in random order, from which heartbeats draw. */
+    private final List<PeerRecord> mShuffled = new ArrayList<>();
+
+    private final MemberNews mNews = new MemberNews();
 
     /** Whether something was heard that may change the snapshot before the next round. */
     private boolean mChanged;
@@ -74,6 +86,10 @@
     private long mNextRoundNanos;
     private long mLastTickNanos;
     private int mRoundRobin;
+
+    /** When each failure domain was last heard of directly. */
+    private final Map<FailureDomain, Long> mDirectNanos = new HashMap<>();
+
     private MembershipSnapshot mSnapshot;
 
     /**
@@ -89,6 +105,8 @@
         mIncarnation = incarnation;
         mRandom = Preconditions.notNull(random, "random");
         mLeaving = self.leaving();
+        // Instances that start together would otherwise all ask the same peer at the same time.
+        mRoundRobin = random.nextInt(Short.MAX_VALUE);
         mNextRoundNanos = nowNanos;
         mLastTickNanos = nowNanos;
         mSnapshot = new MembershipSnapshot(1, List.of(self));
@@ -110,6 +128,7 @@
                         entry ->
                                 !listed.contains(entry.getKey())
                                         && entry.getValue().silence(nowNanos) >= SUSPICION_NANOS);
+        mShuffled.removeIf(each -> !mPeers.containsKey(each.id()));
         refresh(nowNanos);
     }
 
@@ -118,20 +137,14 @@
         if (heartbeat.instance().equals(mSelf.id())) {
             return;
         }
+        mDirectNanos.put(heartbeat.failureDomain(), nowNanos);
         hear(
                 heartbeat.instance(),
                 heartbeat.incarnation(),
                 heartbeat.leaving(),
                 nowNanos,
                 nowNanos);
-        for (MemberUpdate update : heartbeat.members()) {
-            if (!update.instance().equals(mSelf.id())) {
-                onUpdate(update, nowNanos);
-            } else if (update.heardAgeMillis() >= SUSPICION_MILLIS) {
-                // A greater incarnation ends a false suspicion wherever it has spread to.
-                mIncarnation = Math.max(mIncarnation, update.incarnation() + 1);
-            }
-        }
+        heartbeat.members().forEach(each -> onUpdate(each, nowNanos));
         if (mChanged) {
             refresh(nowNanos);
         }
@@ -141,7 +154,16 @@
     public void onHeartbeatFailure(InstanceId peer, long nowNanos) {
         PeerRecord record = mPeers.get(peer);
         if (record != null) {
-            record.countUnanswered();
+            long sentNanos = nowNanos - ANSWER_TIMEOUT_NANOS;
+            if (!isDomainHeardSince(record, sentNanos)) {
+                return;
+            }
+            record.countUnanswered(sentNanos);
+            // Evidence is renewed for the instances that missed it, as after a partition.
+            boolean isEnough = record.hasEvidence() || record.unanswered() >= EVIDENCE;
+            if (isEnough && record.addEvidence(sentNanos)) {
+                announce(record);
+            }
         }
     }
 
@@ -231,94 +253,139 @@
     }
 
     /**
-     * Takes back all members of a failure domain that was silent as a whole, since hearing of each
-     * one again would take long in a large fleet. Those that died meanwhile are suspected anew.
+     * Takes back the members of a failure domain that was silent as a whole, since hearing of each
+     * one again would take long in a large fleet. Those that were suspected while the others were
+     * still heard of remain so; those that died meanwhile are suspected anew.
      */
-    private void welcomeBack(FailureDomain domain, long nowNanos) {
-        Long silence = domainSilence(nowNanos).get(domain);
-        if (isSmall() || silence == null || silence < SUSPICION_NANOS) {
+    private void welcomeBack(PeerRecord record, long nowNanos) {
+        if (isSmall() || !isDomainSilent(record, nowNanos)) {
             return;
         }
-        for (PeerRecord each : mPeers.values()) {
-            if (each.member() != null && each.member().failureDomain().equals(domain)) {
-                each.restartSilence(nowNanos);
-                each.reportedSuspect(false);
-            }
-        }
+        domainOf(record)
+                .filter(each -> !each.hasEvidence())
+                .forEach(each -> each.restartSilence(nowNanos));
         mChanged = true;
     }
 
+    /**
+     * Returns whether an instance of a peer's failure domain was heard of directly after a time.
+     * Without it, a missing answer may be due to a lost connection between the domains.
+     */
+    private boolean isDomainHeardSince(PeerRecord record, long sinceNanos) {
+        return record.member() != null
+                && mDirectNanos.containsKey(record.member().failureDomain())
+                && mDirectNanos.get(record.member().failureDomain()) - sinceNanos > 0;
+    }
+
+    private boolean isDomainSilent(PeerRecord record, long nowNanos) {
+        return record.member() != null
+                && record.silence(nowNanos) >= SUSPICION_NANOS
+                && domainOf(record).allMatch(each -> each.silence(nowNanos) >= SUSPICION_NANOS);
+    }
+
+    /** Returns the listed peers of the failure domain of a listed peer. */
+    private Stream<PeerRecord> domainOf(PeerRecord record) {
+        FailureDomain domain = record.member().failureDomain();
+        return mPeers.values().stream()
+                .filter(
+                        each ->
+                                each.member() != null
+                                        && each.member().failureDomain().equals(domain));
+    }
+
     private void onUpdate(MemberUpdate update, long nowNanos) {
+        InstanceId instance = update.instance();
         long age = TimeUnit.MILLISECONDS.toNanos(update.heardAgeMillis() + RELAY_MARGIN_MILLIS);
-        PeerRecord record = mPeers.get(update.instance());
-        if (age < SUSPICION_NANOS) {
-            hear(
-                    update.instance(),
-                    update.incarnation(),
-                    update.leaving(),
-                    nowNanos - age,
-                    nowNanos);
-        } else if (record != null && update.incarnation() >= record.incarnation()) {
-            boolean isSilent = record.silence(nowNanos) >= SUSPICION_NANOS;
-            // Either this instance passes the suspicion on, or it contradicts it.
-            if (!isSilent || !record.reportedSuspect()) {
-                announce(update.instance());
+        if (update.heardAgeMillis() >= SUSPICION_MILLIS) {
+            long evidenceNanos = nowNanos - (age - SUSPICION_NANOS);
+            if (nowNanos - evidenceNanos <= MemberNews.EVIDENCE_AGE_NANOS) {
+                onSuspicion(instance, update.incarnation(), evidenceNanos, nowNanos);
+            }
+        } else if (!instance.equals(mSelf.id())) {
+            hear(instance, update.incarnation(), update.leaving(), nowNanos - age, nowNanos);
+        }
+    }
+
+    /** Takes in that an instance did not answer a peer at a time. */
+    private void onSuspicion(
+            InstanceId instance, long incarnation, long evidenceNanos, long nowNanos) {
+        if (instance.equals(mSelf.id())) {
+            // A greater incarnation ends a false suspicion wherever it has spread to.
+            mIncarnation = Math.max(mIncarnation, incarnation + 1);
+            return;
+        }
+        PeerRecord record = mPeers.get(instance);
+        if (record == null || incarnation != UNKNOWN && incarnation < record.incarnation()) {
+            return;
+        }
+        // Renewed evidence is passed on too, since others may have dropped the earlier one.
+        boolean isNew =
+                !record.hasEvidence()
+                        || record.evidenceAge(nowNanos) > MemberNews.EVIDENCE_AGE_NANOS;
+        if (record.addEvidence(evidenceNanos)) {
+            if (isNew) {
+                announce(record);
             }
-            record.reportedSuspect(isSilent);
+        } else if (isNew && record.isHeardWithin(MemberNews.LIFE_AGE_NANOS, nowNanos)) {
+            // The later sign of life contradicts the suspicion.
+            announce(record);
         }
     }
 
     private void hear(
             InstanceId instance, long incarnation, boolean leaving, long atNanos, long nowNanos) {
         PeerRecord record = record(instance, nowNanos);
-        if (record.member() != null && record.silence(nowNanos) >= SUSPICION_NANOS) {
-            welcomeBack(record.member().failureDomain(), nowNanos);
-        }
+        welcomeBack(record, nowNanos);
         long oldIncarnation = record.incarnation();
         boolean oldLeaving = record.leaving();
-        if (record.hear(incarnation, leaving, atNanos)) {
-            if (record.reportedSuspect() && record.silence(nowNanos) < SUSPICION_NANOS) {
-                record.reportedSuspect(false);
-                announce(instance);
-            }
-        }
-        if (oldIncarnation != record.incarnation() || oldLeaving != record.leaving()) {
-            announce(instance);
+        boolean wasSuspect = record.hasEvidence();
+        // The first sign of life of a listed instance is no news: the list has spread already.
+        boolean wasKnown = record.isHeard() || record.member() == null;
+        record.hear(incarnation, leaving, atNanos);
+        if (wasKnown && oldIncarnation != record.incarnation()
+                || oldLeaving != record.leaving()
+                || wasSuspect && !record.hasEvidence()) {
+            announce(record);
         }
     }
 
     private PeerRecord record(InstanceId instance, long nowNanos) {
-        return mPeers.computeIfAbsent(instance, each -> new PeerRecord(nowNanos));
+        return mPeers.computeIfAbsent(
+                instance,
+                each -> {
+                    PeerRecord record = new PeerRecord(instance, nowNanos);
+                    mShuffled.add(record);
+                    return record;
+                });
     }
 
-    private void announce(InstanceId instance) {
-        int bits = Integer.SIZE - Integer.numberOfLeadingZeros(mPeers.size() + 1);
-        mNews.put(instance, 2 * bits);
+    private void announce(PeerRecord record) {
+        mNews.add(record, mPeers.size() + 1);
         mChanged = true;
     }
 
     /** Rebuilds the snapshot when the set of live instances or one of them has changed. */
     private void refresh(long nowNanos) {
         mChanged = false;
-        Map<FailureDomain, Long> domainSilence = domainSilence(nowNanos);
-        Map<InstanceId, Member> live = new TreeMap<>();
-        live.put(mSelf.id(), mSelf.withLeaving(mLeaving));
+        Map<FailureDomain, Boolean> silentDomains = new HashMap<>();
+        List<Member> live = new ArrayList<>(mPeers.size() + 1);
+        Member self = mSelf.withLeaving(mLeaving);
+        boolean hasSelf = false;
         for (Map.Entry<InstanceId, PeerRecord> entry : mPeers.entrySet()) {
-            PeerRecord record = entry.getValue();
-            boolean suspect = isSuspect(record, domainSilence, nowNanos);
-            // In a large fleet, silence alone may only mean that no update came this way.
-            boolean isSure = isSmall() || record.unanswered() >= EVIDENCE;
-            if (suspect && isSure && !record.reportedSuspect()) {
-                record.reportedSuspect(true);
-                announce(entry.getKey());
+            if (!hasSelf && entry.getKey().compareTo(mSelf.id()) > 0) {
+                live.add(self);
+                hasSelf = true;
             }
-            if (!suspect && record.member() != null) {
-                live.put(entry.getKey(), record.member().withLeaving(record.leaving()));
+            PeerRecord record = entry.getValue();
+            if (record.member() != null && !isSuspect(record, silentDomains, nowNanos)) {
+                live.add(record.member().withLeaving(record.leaving()));
             }
         }
-        List<Member> members = new ArrayList<>(live.values());
-        if (!members.equals(mSnapshot.members())) {
-            mSnapshot = new MembershipSnapshot(mSnapshot.version() + 1, members);
+        if (!hasSelf) {
+            live.add(self);
+        }
+        if (!live.equals(mSnapshot.members())) {
+            mSnapshot = new MembershipSnapshot(mSnapshot.version() + 1, live);
         }
     }
 
@@ -327,17 +394,18 @@
     }
 
     private boolean isSuspect(
-            PeerRecord record, Map<FailureDomain, Long> domainSilence, long nowNanos) {
+            PeerRecord record, Map<FailureDomain, Boolean> silentDomains, long nowNanos) {
         long silence = record.silence(nowNanos);
         if (silence < SUSPICION_NANOS) {
             return false;
         }
-        if (record.reportedSuspect() || record.unanswered() >= EVIDENCE) {
+        if (record.hasEvidence()) {
             return true;
         }
         if (record.member() != null
-                && domainSilence.getOrDefault(record.member().failureDomain(), 0L)
-                        >= SUSPICION_NANOS) {
+                && silentDomains.computeIfAbsent(
+                        record.member().failureDomain(),
+                        each -> isDomainSilent(record, nowNanos))) {
             return true;
         }
         // With 10 messages of 8 updates a second, about 50 updates on each member are due in this
@@ -346,17 +414,6 @@
         return silence >= SUSPICION_NANOS * scale;
     }
 
-    /** Returns the shortest silence in each failure domain. */
-    private Map<FailureDomain, Long> domainSilence(long nowNanos) {
-        Map<FailureDomain, Long> silence = new HashMap<>();
-        for (PeerRecord each : mPeers.values()) {
-            if (each.member() != null) {
-                silence.merge(each.member().failureDomain(), each.silence(nowNanos), Math::min);
-            }
-        }
-        return silence;
-    }
-
     private List<HeartbeatTarget> targets() {
         List<Member> own = new ArrayList<>();
         List<Member> other = new ArrayList<>();
@@ -367,7 +424,7 @@
                 continue;
             }
             all.add(each.member());
-            if (!each.reportedSuspect()) {
+            if (!each.hasEvidence()) {
                 (each.member().failureDomain().equals(mSelf.failureDomain()) ? own : other)
                         .add(each.member());
                 if (each.unanswered() > 0 && each.unanswered() < EVIDENCE) {
@@ -400,46 +457,25 @@
 
     /** Returns news first, then random members that were heard of lately. */
     private List<MemberUpdate> updates(long nowNanos) {
-        Set<InstanceId> chosen = new LinkedHashSet<>();
-        // News that has grown old would be read as a suspicion.
-        mNews.keySet()
-                .removeIf(each -> !isWorthPassingOn(mPeers.get(each), NEWS_AGE_NANOS, nowNanos));
-        for (InstanceId each : List.copyOf(mNews.keySet())) {
-            if (chosen.size() >= MAX_UPDATES) {
-                break;
+        List<PeerRecord> chosen = mNews.take(MAX_UPDATES, nowNanos);
+        int news = chosen.size();
+        for (int i = 0; i < mShuffled.size() && chosen.size() < MAX_UPDATES; i++) {
+            Collections.swap(mShuffled, i, i + mRandom.nextInt(mShuffled.size() - i));
+            PeerRecord each = mShuffled.get(i);
+            if (each.isHeardWithin(RELAYED_AGE_NANOS, nowNanos)
+                    && !chosen.subList(0, news).contains(each)) {
+                chosen.add(each);
             }
-            chosen.add(each);
-            int left = mNews.remove(each) - 1;
-            if (left > 0) {
-                mNews.put(each, left);
-            }
-        }
-        List<InstanceId> fresh = new ArrayList<>();
-        mPeers.forEach(
-                (instance, record) -> {
-                    if (!record.reportedSuspect()
-                            && isWorthPassingOn(record, RELAYED_AGE_NANOS, nowNanos)) {
-                        fresh.add(instance);
-                    }
-                });
-        while (chosen.size() < MAX_UPDATES && !fresh.isEmpty()) {
-            int index = mRandom.nextInt(fresh.size());
-            chosen.add(fresh.get(index));
-            fresh.set(index, fresh.get(fresh.size() - 1));
-            fresh.remove(fresh.size() - 1);
         }
         return chosen.stream().map(each -> update(each, nowNanos)).toList();
     }
 
-    private static boolean isWorthPassingOn(PeerRecord record, long limit, long nowNanos) {
-        return record != null
-                && (record.reportedSuspect()
-                        || record.isHeard() && record.silence(nowNanos) <= limit);
-    }
-
-    private MemberUpdate update(InstanceId instance, long nowNanos) {
-        PeerRecord record = mPeers.get(instance);
-        long age = TimeUnit.NANOSECONDS.toMillis(record.silence(nowNanos));
-        return new MemberUpdate(instance, record.incarnation(), age, record.leaving());
+    private static MemberUpdate update(PeerRecord record, long nowNanos) {
+        long age =
+                TimeUnit.NANOSECONDS.toMillis(
+                        record.hasEvidence()
+                                ? SUSPICION_NANOS + record.evidenceAge(nowNanos)
+                                : record.heardAge(nowNanos));
+        return new MemberUpdate(record.id(), record.incarnation(), age, record.leaving());
     }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
@@ -33,12 +33,18 @@
         public final ConfigurationFreshness mFreshness;
         private boolean mChecking;
 
-        Instance(Member member) {
+        Instance(Member member, long incarnation) {
             mMember = member;
-            mTable = new MembershipTable(member, 1, mRandom, mNow);
+            mTable = new MembershipTable(member, incarnation, mRandom, mNow);
             mFreshness = new ConfigurationFreshness(member.failureDomain());
         }
 
+        private void start(List<Member> listed) {
+            mTable.onPlatformList(listed, mNow);
+            mFreshness.onInstances(mTable.failureDomains(), mTable.isAloneInDomain());
+            after(name(), mRandom.nextLong(500 * MILLI), this::tick);
+        }
+
         String name() {
             return mMember.id().value();
         }
@@ -170,15 +176,40 @@
             FailureDomain domain = new FailureDomain("d" + i % domains);
             members.add(new Member(new InstanceId("i" + i), domain, "a", "a", "a", false));
         }
-        members.forEach(each -> mInstances.add(new Instance(each)));
+        members.forEach(each -> mInstances.add(new Instance(each, 1)));
+        mInstances.forEach(each -> each.start(members));
+    }
+
+    /** Stops all instances of a failure domain. */
+    public void stop(FailureDomain domain) {
         for (Instance each : mInstances) {
-            each.mTable.onPlatformList(members, mNow);
-            each.mFreshness.onInstances(
-                    each.mTable.failureDomains(), each.mTable.isAloneInDomain());
-            after(each.name(), mRandom.nextLong(500 * MILLI), each::tick);
+            if (each.mMember.failureDomain().equals(domain)) {
+                mStopped.add(each.name());
+            }
         }
     }
 
+    /** Starts new processes in place of all instances of a failure domain. */
+    public void restart(FailureDomain domain) {
+        List<Member> members = mInstances.stream().map(each -> each.mMember).toList();
+        for (int i = 0; i < members.size(); i++) {
+            if (members.get(i).failureDomain().equals(domain)) {
+                mStopped.remove(mInstances.get(i).name());
+                mInstances.set(i, new Instance(members.get(i), 2));
+                mInstances.get(i).start(members);
+            }
+        }
+    }
+
+    /** Returns the numbers of instances that the running ones take for live, in rising order. */
+    public List<Integer> viewSizes() {
+        return mInstances.stream()
+                .filter(each -> !mStopped.contains(each.name()))
+                .map(each -> each.mTable.snapshot().members().size())
+                .sorted()
+                .toList();
+    }
+
     /** Runs all events of a span of time. */
     public void runFor(long nanos) {
         long end = mNow + nanos;
