Test how a configuration spreads through heartbeats at 520 instances

The store's watch and answers are 3 s late at all instances but one; in the second test the store is lost right after that instance has seen the version.

The aim is 11 s, and a few seconds for a withdrawn key, so no extra heartbeats are sent.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
@@ -132,7 +132,7 @@
                         delay(),
                         () -> {
                             Configuration found = mStore;
-                            after(name(), delay(), () -> finish(sent, Optional.of(found)));
+                            after(name(), storeDelay(this), () -> finish(sent, Optional.of(found)));
                         });
             }
             after(name(), 1_000 * MILLI, () -> finish(sent, Optional.empty()));
@@ -164,6 +164,10 @@
     public final Map<String, Long> mPausedUntil = new HashMap<>();
     public boolean mStoreUp = true;
     public long mMaxDelay = 3 * MILLI;
+
+    /** How much later the store's answers and watches reach all instances but the first. */
+    public long mStoreDelay;
+
     public long mHeartbeats;
     private Configuration mStore = Configuration.EMPTY;
     public final List<Long> mAcceptedNanos = new ArrayList<>(List.of(0L));
@@ -236,12 +240,29 @@
             Configuration changed = mStore;
             for (Instance each : mInstances) {
                 if (reachesStore(each)) {
-                    after(each.name(), delay(), () -> each.accept(changed));
+                    after(each.name(), storeDelay(each), () -> onWatch(each, changed));
                 }
             }
         }
     }
 
+    private void onWatch(Instance instance, Configuration changed) {
+        if (mStoreDelay == 0 || reachesStore(instance)) {
+            instance.accept(changed);
+        }
+    }
+
+    private long storeDelay(Instance instance) {
+        return delay() + (instance == mInstances.get(0) ? 0 : mStoreDelay);
+    }
+
+    /** Returns the number of instances that have the store's version in force. */
+    public long countUpToDate() {
+        return mInstances.stream()
+                .filter(each -> each.mState.current().version() == mStore.version())
+                .count();
+    }
+
     /** Returns whether an instance stands still. */
     public boolean isPaused(String node) {
         return mPausedUntil.getOrDefault(node, 0L) > mNow;
