Keep evidence that is newer than a first sign of life, and tidy membership

Cause: the first sign of life of an instance cleared evidence against it even when it was older, since the record took its incarnation for a new one.

Change: only a greater incarnation of an instance heard of before refutes evidence regardless of its time. The two membership tests share one check of the views, which now names the instance; the documentation of updates and evidence follows the code.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MemberUpdate.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MemberUpdate.java
@@ -9,6 +9,7 @@
  * @param instance the instance reported on
  * @param incarnation the incarnation last heard of
  * @param heardAgeMillis milliseconds since the latest sign of life; 5,000 or more is a suspicion
+ *     that rests on evidence of that many milliseconds less 5,000
  * @param leaving whether it is about to stop
  * @since 0.1
  */
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/MembershipTable.java
@@ -33,8 +33,9 @@
  * <p>Evidence carries the time at which the instance did not answer, and a sign of life from a
  * later time outranks it wherever it meets it. So a suspicion cannot outlive its cause by being
  * passed on among instances that only adopted it. The age in an update is the age of the sign of
- * life, or 5 s more than the age of the evidence. Evidence from before the return of a failure
- * domain is dropped, since it may be due to the lost connection.
+ * life, or 5 s more than the age of the evidence. A missing answer counts only if another instance
+ * of the same failure domain was heard of since, so that a partition between domains is no
+ * evidence.
  *
  * @since 0.1
  */
@@ -59,8 +60,9 @@
     private static final int MAX_UPDATES = 8;
 
     /** The incarnation of an instance that was never heard of. */
-    private static final long UNKNOWN = 0;
+    private static final long UNKNOWN_INCARNATION = 0;
 
+    /** The age up to which signs of life are passed on when there is no news. */
     private static final long RELAYED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Added to a relayed age, so that time in transit cannot make a silent peer look younger. */
@@ -153,17 +155,15 @@
     /** Takes in that a heartbeat could not be sent, or was not answered in time. */
     public void onHeartbeatFailure(InstanceId peer, long nowNanos) {
         PeerRecord record = mPeers.get(peer);
-        if (record != null) {
-            long sentNanos = nowNanos - ANSWER_TIMEOUT_NANOS;
-            if (!isDomainHeardSince(record, sentNanos)) {
-                return;
-            }
-            record.countUnanswered(sentNanos);
-            // Evidence is renewed for the instances that missed it, as after a partition.
-            boolean isEnough = record.hasEvidence() || record.unanswered() >= EVIDENCE;
-            if (isEnough && record.addEvidence(sentNanos)) {
-                announce(record);
-            }
+        long sentNanos = nowNanos - ANSWER_TIMEOUT_NANOS;
+        if (record == null || !isDomainHeardSince(record, sentNanos)) {
+            return;
+        }
+        record.countUnanswered(sentNanos);
+        // Evidence is renewed for the instances that missed it, as after a partition.
+        boolean isEnough = record.hasEvidence() || record.unanswered() >= EVIDENCE;
+        if (isEnough && record.addEvidence(sentNanos)) {
+            announce(record);
         }
     }
 
@@ -257,7 +257,7 @@
      * one again would take long in a large fleet. Those that were suspected while the others were
      * still heard of remain so; those that died meanwhile are suspected anew.
      */
-    private void welcomeBack(PeerRecord record, long nowNanos) {
+    private void takeBackDomain(PeerRecord record, long nowNanos) {
         if (isSmall() || !isDomainSilent(record, nowNanos)) {
             return;
         }
@@ -315,7 +315,8 @@
             return;
         }
         PeerRecord record = mPeers.get(instance);
-        if (record == null || incarnation != UNKNOWN && incarnation < record.incarnation()) {
+        if (record == null
+                || incarnation != UNKNOWN_INCARNATION && incarnation < record.incarnation()) {
             return;
         }
         // Renewed evidence is passed on too, since others may have dropped the earlier one.
@@ -335,7 +336,7 @@
     private void hear(
             InstanceId instance, long incarnation, boolean leaving, long atNanos, long nowNanos) {
         PeerRecord record = record(instance, nowNanos);
-        welcomeBack(record, nowNanos);
+        takeBackDomain(record, nowNanos);
         long oldIncarnation = record.incarnation();
         boolean oldLeaving = record.leaving();
         boolean wasSuspect = record.hasEvidence();
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/PeerRecord.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/PeerRecord.java
@@ -49,24 +49,21 @@
         return mLeaving || (mMember != null && mMember.leaving());
     }
 
-    /**
-     * Takes in a sign of life; those of earlier incarnations are ignored.
-     *
-     * @return whether it was the latest one
-     */
-    boolean hear(long incarnation, boolean leaving, long atNanos) {
+    /** Takes in a sign of life; those of earlier incarnations are ignored. */
+    void hear(long incarnation, boolean leaving, long atNanos) {
         if (mHeard && incarnation < mIncarnation) {
-            return false;
+            return;
         }
         if (!mHeard || incarnation > mIncarnation) {
             mIncarnation = incarnation;
             mLeaving = leaving;
-            mHasEvidence = false;
+            // A new incarnation refutes evidence; a first sign of life may be older than it.
+            mHasEvidence &= !mHeard;
         } else {
             mLeaving |= leaving;
         }
         if (mHeard && atNanos - mHeardNanos <= 0) {
-            return false;
+            return;
         }
         mHeard = true;
         mHeardNanos = atNanos;
@@ -77,7 +74,6 @@
             mUnanswered = 0;
         }
         dropOldEvidence();
-        return true;
     }
 
     /**
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
@@ -1,5 +1,7 @@
 package org.plantainferry.engine.membership;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -205,13 +207,14 @@
         }
     }
 
-    /** Returns the numbers of instances that the running ones take for live, in rising order. */
-    public List<Integer> viewSizes() {
-        return mInstances.stream()
-                .filter(each -> !mStopped.contains(each.name()))
-                .map(each -> each.mTable.snapshot().members().size())
-                .sorted()
-                .toList();
+    /** Expects that all running instances take the same number of instances for live. */
+    public void expectLive(int count, String what) {
+        for (Instance each : mInstances) {
+            if (!mStopped.contains(each.name())) {
+                int live = each.mTable.snapshot().members().size();
+                assertEquals(live, count, what + ", at " + each.name());
+            }
+        }
     }
 
     /** Runs all events of a span of time. */
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/MembershipLargeFleetTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/MembershipLargeFleetTest.java
@@ -1,7 +1,5 @@
 package org.plantainferry.engine.membership;
 
-import static org.testng.Assert.assertEquals;
-
 import java.util.List;
 import org.plantainferry.api.FailureDomain;
 import org.testng.annotations.Test;
@@ -20,7 +18,7 @@
         fleet.runFor(3 * SECOND);
         fleet.mStopped.addAll(List.of("i0", "i1", "i2", "i3"));
         fleet.runFor(10 * SECOND);
-        expectLive(fleet, SIZE - 4, "dead");
+        fleet.expectLive(SIZE - 4, "dead");
         for (int i = 0; i < DOMAINS; i++) {
             fleet.isolate("d" + i);
         }
@@ -30,7 +28,7 @@
         fleet.mIsolated.clear();
         fleet.runFor(10 * SECOND);
         for (int i = 10; i <= 40; i++) {
-            expectLive(fleet, SIZE - 5, i + " s after the heal");
+            fleet.expectLive(SIZE - 5, i + " s after the heal");
             fleet.runFor(SECOND);
         }
     }
@@ -43,19 +41,13 @@
         FailureDomain lost = new FailureDomain("d2");
         fleet.stop(lost);
         fleet.runFor(10 * SECOND);
-        expectLive(fleet, SIZE - PER_DOMAIN, "lost");
+        fleet.expectLive(SIZE - PER_DOMAIN, "lost");
         fleet.runFor(5 * SECOND);
         fleet.restart(lost);
         fleet.runFor(10 * SECOND);
-        expectLive(fleet, SIZE, "back");
+        fleet.expectLive(SIZE, "back");
         fleet.mStopped.add("i0");
         fleet.runFor(10 * SECOND);
-        expectLive(fleet, SIZE - 1, "one dead after the return");
-    }
-
-    private static void expectLive(FleetSimulation fleet, int count, String what) {
-        List<Integer> sizes = fleet.viewSizes();
-        assertEquals((int) sizes.get(0), count, "smallest view, " + what);
-        assertEquals((int) sizes.get(sizes.size() - 1), count, "largest view, " + what);
+        fleet.expectLive(SIZE - 1, "one dead after the return");
     }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/MembershipTableTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/MembershipTableTest.java
@@ -20,10 +20,10 @@
         for (long seed = 40_000; seed < 40_020; seed++) {
             FleetSimulation fleet = new FleetSimulation(seed, 3, 4);
             fleet.runFor(30 * SECOND);
-            expectLive(fleet, 12, "seed " + seed);
+            fleet.expectLive(12, "seed " + seed);
             fleet.mStopped.add("i0");
             fleet.runFor(7 * SECOND);
-            expectLive(fleet, 11, "seed " + seed);
+            fleet.expectLive(11, "seed " + seed);
             fleet.isolate("d1");
             fleet.runFor(8 * SECOND);
             for (FleetSimulation.Instance each : fleet.mInstances) {
@@ -35,7 +35,7 @@
             }
             fleet.mIsolated.clear();
             fleet.runFor(8 * SECOND);
-            expectLive(fleet, 11, "seed " + seed);
+            fleet.expectLive(11, "seed " + seed);
         }
     }
 
@@ -43,10 +43,25 @@
     public void keepsALargeFleetWithoutFalseSuspicion() {
         FleetSimulation fleet = new FleetSimulation(40_100, 4, 40);
         fleet.runFor(40 * SECOND);
-        expectLive(fleet, 160, "steady");
+        fleet.expectLive(160, "steady");
+        cutForAShortTime(fleet);
         fleet.mStopped.add("i0");
         fleet.runFor(12 * SECOND);
-        expectLive(fleet, 159, "one dead");
+        fleet.expectLive(159, "one dead");
+    }
+
+    /** A cut shorter than the suspicion time once left evidence against every other domain. */
+    private static void cutForAShortTime(FleetSimulation fleet) {
+        for (int i = 0; i < 4; i++) {
+            fleet.isolate("d" + i);
+        }
+        fleet.runFor(4 * SECOND);
+        fleet.mIsolated.clear();
+        fleet.runFor(2 * SECOND);
+        for (int i = 2; i <= 12; i++) {
+            fleet.expectLive(160, i + " s after a short cut");
+            fleet.runFor(SECOND);
+        }
     }
 
     @Test
@@ -83,12 +98,4 @@
                 List.of(),
                 false);
     }
-
-    private static void expectLive(FleetSimulation fleet, int count, String what) {
-        for (FleetSimulation.Instance each : fleet.mInstances) {
-            if (!fleet.mStopped.contains(each.name())) {
-                assertEquals(each.mTable.snapshot().members().size(), count, what);
-            }
-        }
-    }
 }
