--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/membership/FleetSimulation.java
@@ -1,5 +1,7 @@
 package org.plantainferry.engine.membership;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,12 +35,18 @@
         public final ConfigurationFreshness mFreshness;
         private boolean mChecking;
 
-        Instance(Member member) {
+        Instance(Member member, long incarnation) {
             mMember = member;
-            mTable = new MembershipTable(member, 1, mRandom, mNow);
+            mTable = new MembershipTable(member, incarnation, mRandom, mNow);
             mFreshness = new ConfigurationFreshness(member.failureDomain());
         }
 
+        private void start(List<Member> listed) {
+            mTable.onPlatformList(listed, mNow);
+            mFreshness.onInstances(mTable.failureDomains(), mTable.isAloneInDomain());
+            after(name(), mRandom.nextLong(500 * MILLI), this::tick);
+        }
+
         String name() {
             return mMember.id().value();
         }
@@ -126,7 +134,7 @@
                         delay(),
                         () -> {
                             Configuration found = mStore;
-                            after(name(), delay(), () -> finish(sent, Optional.of(found)));
+                            after(name(), storeDelay(this), () -> finish(sent, Optional.of(found)));
                         });
             }
             after(name(), 1_000 * MILLI, () -> finish(sent, Optional.empty()));
@@ -158,6 +166,10 @@
     public final Map<String, Long> mPausedUntil = new HashMap<>();
     public boolean mStoreUp = true;
     public long mMaxDelay = 3 * MILLI;
+
+    /** How much later the store's answers and watches reach all instances but the first. */
+    public long mStoreDelay;
+
     public long mHeartbeats;
     private Configuration mStore = Configuration.EMPTY;
     public final List<Long> mAcceptedNanos = new ArrayList<>(List.of(0L));
@@ -170,12 +182,38 @@
             FailureDomain domain = new FailureDomain("d" + i % domains);
             members.add(new Member(new InstanceId("i" + i), domain, "a", "a", "a", false));
         }
-        members.forEach(each -> mInstances.add(new Instance(each)));
+        members.forEach(each -> mInstances.add(new Instance(each, 1)));
+        mInstances.forEach(each -> each.start(members));
+    }
+
+    /** Stops all instances of a failure domain. */
+    public void stop(FailureDomain domain) {
+        for (Instance each : mInstances) {
+            if (each.mMember.failureDomain().equals(domain)) {
+                mStopped.add(each.name());
+            }
+        }
+    }
+
+    /** Starts new processes in place of all instances of a failure domain. */
+    public void restart(FailureDomain domain) {
+        List<Member> members = mInstances.stream().map(each -> each.mMember).toList();
+        for (int i = 0; i < members.size(); i++) {
+            if (members.get(i).failureDomain().equals(domain)) {
+                mStopped.remove(mInstances.get(i).name());
+                mInstances.set(i, new Instance(members.get(i), 2));
+                mInstances.get(i).start(members);
+            }
+        }
+    }
+
+    /** Expects that all running instances take the same number of instances for live. */
+    public void expectLive(int count, String what) {
         for (Instance each : mInstances) {
-            each.mTable.onPlatformList(members, mNow);
-            each.mFreshness.onInstances(
-                    each.mTable.failureDomains(), each.mTable.isAloneInDomain());
-            after(each.name(), mRandom.nextLong(500 * MILLI), each::tick);
+            if (!mStopped.contains(each.name())) {
+                int live = each.mTable.snapshot().members().size();
+                assertEquals(live, count, what + ", at " + each.name());
+            }
         }
     }
 
@@ -205,12 +243,29 @@
             Configuration changed = mStore;
             for (Instance each : mInstances) {
                 if (reachesStore(each)) {
-                    after(each.name(), delay(), () -> each.accept(changed));
+                    after(each.name(), storeDelay(each), () -> onWatch(each, changed));
                 }
             }
         }
     }
 
+    private void onWatch(Instance instance, Configuration changed) {
+        if (mStoreDelay == 0 || reachesStore(instance)) {
+            instance.accept(changed);
+        }
+    }
+
+    private long storeDelay(Instance instance) {
+        return delay() + (instance == mInstances.get(0) ? 0 : mStoreDelay);
+    }
+
+    /** Returns the number of instances that have the store's version in force. */
+    public long countUpToDate() {
+        return mInstances.stream()
+                .filter(each -> each.mState.current().version() == mStore.version())
+                .count();
+    }
+
     /** Returns whether an instance stands still. */
     public boolean isPaused(String node) {
         return mPausedUntil.getOrDefault(node, 0L) > mNow;
