--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerServer.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/http/CallerServer.java
@@ -99,6 +99,9 @@
         mShutdown.shutdown();
         boolean isComplete = mShutdown.awaitShutdown(millis);
         TimeUnit.MILLISECONDS.sleep(LINGER_MILLIS);
+        // Requests on connections accepted until now still get their refusal.
+        mServer.getListenerInfo().forEach(Undertow.ListenerInfo::suspend);
+        TimeUnit.MILLISECONDS.sleep(LINGER_MILLIS);
         return isComplete;
     }
 
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/PendingRequest.java
@@ -83,6 +83,10 @@
         mWaiting = waiting;
     }
 
+    int attempts() {
+        return mAttempts;
+    }
+
     void countAttempt() {
         mAttempts++;
     }
