Lend rate that would be lost and acknowledge asked grants soon

After traffic moved, half of the rate was kept for an instance that no longer used it, and tokens on their way blocked the pool until the next regular request.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/Division.java
@@ -99,6 +99,10 @@
                 && (capacity(instance) < SCARCE || rate(instance) < SLOW);
     }
 
+    boolean isPair() {
+        return mActive <= 2;
+    }
+
     double reserve() {
         return mReserve;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -146,8 +146,16 @@
         double poolSpace = free - Math.max(capacity, ownCapacity + tokens) - (mPool - tokens);
         double freeRate =
                 Math.max(0, slots * mTerms.ratePerSecond() - lentRate() + borrower.lentRate(mNow));
+        // What neither the pool nor the one other borrower can take would be lost. Among more
+        // borrowers this would set off recalls all the time.
+        double idleRate =
+                freeRate
+                        - Math.max(0, poolSpace)
+                                * ShareTiming.NANOS_PER_SECOND
+                                / ShareTiming.REQUEST_PERIOD;
         freeRate = Math.min(freeRate, mostRate);
         double rate = division.rate(instance) - poolRate(division, instance, poolSpace);
+        rate = division.isPair() ? Math.max(rate, idleRate) : rate;
         rate = capacity > 0 ? Math.max(0, Math.min(freeRate, rate)) : 0;
         return new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, false);
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -27,6 +27,9 @@
 public final class ShareHolder {
     private static final long ASK_AGAIN = TimeUnit.MILLISECONDS.toNanos(5);
 
+    // Until a grant is acknowledged, the allocator counts the earlier grant and the new tokens.
+    private static final long ACKNOWLEDGE_AFTER = TimeUnit.MILLISECONDS.toNanos(30);
+
     // With 500 workspaces a look at each of them on every tick would take some percent of a core.
     private static final long SCAN_PERIOD = TimeUnit.MILLISECONDS.toNanos(50);
     private static final double EXTRA_REQUESTS_PER_SECOND = 30;
@@ -131,6 +134,9 @@
             if (share == null || !allocator.equals(share.allocator())) {
                 continue;
             }
+            if (share.bucket().waiting() > 0 && grant.ratePerSecond() > 0) {
+                link.makeUrgent(nowNanos + ACKNOWLEDGE_AFTER);
+            }
             if (share.install(nowNanos, grant, link.sentAt())) {
                 link.makeUrgent(nowNanos);
             }
