--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -134,7 +134,7 @@
         if (share.waiting() > 0) {
             offered = mPool;
             capacity = Math.max(capacity, Math.min(free, level + Math.min(1, offered)));
-        } else if (isOtherStarving(borrower)) {
+        } else if (borrower.isRecalled(mNow) && isOtherStarving(borrower)) {
             // Half of the tokens go to those who have none; repeated recalls take the rest.
             capacity = Math.min(capacity, level / 2);
             // The rate follows, or it would overflow the smaller bucket.
