Release unused grants soon and queue each waiting caller once

An instance from which the traffic had moved away counted as a borrower for up to 1.7 s, because its smoothed demand decays slowly; the allocator kept a reserve and a part of the capacity for it. Each answer wakes all waiting callers, and each repeated try took another place in the queue for due tokens, so that later callers were refused although a token was due. The queue may be 90 ms long, as a caller may be held for 100 ms.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -117,6 +117,13 @@
                 || mBucket.demandPerSecond(nowNanos) > 0;
     }
 
+    /** Returns whether the traffic has ended while a grant still holds capacity for it. */
+    boolean isGrantUnused(long nowNanos) {
+        return mBucket.hasGrant(nowNanos)
+                && mBucket.waiting() == 0
+                && mBucket.demandPerSecond(nowNanos) == 0;
+    }
+
     /** Installs a grant and returns whether many tokens have to go back. */
     boolean install(long nowNanos, ShareAnswer.Grant grant, long sentAt) {
         mTokensToReturn +=
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -105,6 +105,9 @@
             share.refreshPermanent(nowNanos, usableSlots, mTerms.slotTerms(nowNanos, share.name()));
             if (share.allocator() != null && share.isInterested(nowNanos, usableSlots)) {
                 addInterested(share);
+                if (share.isGrantUnused(nowNanos)) {
+                    link(share.allocator()).makeUrgent(nowNanos);
+                }
             }
         }
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -21,7 +21,7 @@
 
     // Tokens that are on their way between instances are missing for some milliseconds; a short
     // queue covers that, and is short enough for an overloaded workspace to be refused soon.
-    private static final long LONGEST_QUEUE = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long LONGEST_QUEUE = TimeUnit.MILLISECONDS.toNanos(90);
     private static final long RETRY_AFTER_UNKNOWN = TimeUnit.MILLISECONDS.toNanos(500);
 
     // Sums of binary fractions may miss a whole token by a rounding error.
@@ -87,12 +87,17 @@
             mNextAsk = mWaitUntil + mBackoff;
             return new Acquisition.Wait(ShareTiming.LONGEST_WAIT);
         }
-        return waitForDueToken();
+        return waitForDueToken(first);
     }
 
     /** Queues the request when a token is due soon, behind those that wait already. */
-    private Acquisition waitForDueToken() {
+    private Acquisition waitForDueToken(boolean first) {
         double rate = mPermanentRate + mGrantRate;
+        // Each answer wakes all callers; if a repeated try took a further place, the queue would
+        // count the same callers several times and refuse others.
+        if (!first && rate > 0 && mPromisedUntil - mNow > 0) {
+            return new Acquisition.Wait(mPromisedUntil - mNow + 1);
+        }
         if (rate > 0) {
             double missing = 1 - mPermanentTokens - mGrantTokens;
             long firstDue = mNow + (long) (missing / rate * ShareTiming.NANOS_PER_SECOND);
