Tell waiting borrowers when the next token is due in the pool

A borrower without a rate of its own refused its callers when the pool missed a fraction of a token, although the token was due within the 100 ms for which a caller may wait. The answer now states when to ask again, instead of a flag that was set only after a recall.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -135,7 +135,10 @@
                         sentAt + grant.validNanos());
         boolean fruitful = mBucket.tokens(nowNanos) >= 1;
         // A caller that began to wait after the request left has not been asked for yet.
-        if (mAskSent && (fruitful || !grant.moreSoon())) {
+        boolean more =
+                grant.moreAfterNanos() > 0
+                        && mBucket.isWaitingUntil(nowNanos + grant.moreAfterNanos());
+        if (mAskSent && (fruitful || !more)) {
             mAskSent = false;
             mBucket.endAsk(nowNanos, fruitful);
         }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -21,6 +21,12 @@
     // capacity cannot be used elsewhere.
     private static final long SINGLE_TOKENS_VALID = TimeUnit.MILLISECONDS.toNanos(20);
 
+    // A recall takes two messages, and the tokens then wait for the next request.
+    private static final long RECALL_ANSWERED = TimeUnit.MILLISECONDS.toNanos(5);
+
+    // A caller waits for at most 100 ms, of which the messages need some.
+    private static final long LONGEST_DUE = TimeUnit.MILLISECONDS.toNanos(90);
+
     // Kept for instances that have no grant yet, so that their first request is answered at once.
     private static final double RESERVE_PART = 0.1;
     private static final double POOL_RATE_PART = 0.05;
@@ -94,11 +100,22 @@
                 unserved || (share.waiting() > 0 && !enough)
                         ? recall(instance, division, unserved)
                         : List.of();
-        boolean moreSoon = unserved && isAnyRecalled(instance);
         mPool -= grant.tokens();
         borrower.lend(nonce, grant, mNow);
         mPool = Math.max(0, Math.min(mPool, freeCapacity()));
-        return new Loan(grant.withMoreSoon(moreSoon), recalled);
+        long moreAfter = unserved ? moreAfter(instance, share.level() + grant.tokens()) : 0;
+        return new Loan(grant.withMoreAfter(moreAfter), recalled);
+    }
+
+    /** Returns when a borrower without a whole token should ask again; 0 for not soon. */
+    private long moreAfter(InstanceId instance, double level) {
+        if (isAnyRecalled(instance)) {
+            return RECALL_ANSWERED;
+        }
+        double rate = depositedSlots(mNow) * mTerms.ratePerSecond() - lentRate();
+        double missing = 1 - level - mPool;
+        double due = rate > 0 ? missing / rate * ShareTiming.NANOS_PER_SECOND : LONGEST_DUE + 1;
+        return due <= LONGEST_DUE ? Math.max(RECALL_ANSWERED, (long) due) : 0;
     }
 
     /** Lends tokens for waiting requests only, for a short time. */
@@ -115,7 +132,7 @@
         }
         double capacity = Math.min(free, level + tokens);
         return new ShareAnswer.Grant(
-                share.workspace(), 0, capacity, tokens, SINGLE_TOKENS_VALID, false);
+                share.workspace(), 0, capacity, tokens, SINGLE_TOKENS_VALID, 0);
     }
 
     private ShareAnswer.Grant standing(
@@ -157,7 +174,7 @@
         double rate = division.rate(instance) - poolRate(division, instance, poolSpace);
         rate = division.isPair() ? Math.max(rate, idleRate) : rate;
         rate = capacity > 0 ? Math.max(0, Math.min(freeRate, rate)) : 0;
-        return new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, false);
+        return new ShareAnswer.Grant(share.workspace(), rate, capacity, tokens, valid, 0);
     }
 
     /** Returns the capacity that is not lent to others. */
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
@@ -27,7 +27,9 @@
      * @param capacity the most tokens that the borrower may hold
      * @param tokens tokens added to those the borrower has
      * @param validNanos lifetime, which the borrower counts from the sending of its request
-     * @param moreSoon whether other borrowers were asked to return tokens or capacity
+     * @param moreAfterNanos the time after which waiting requests should be asked for again,
+     *     because others were asked to return tokens or a token is due; 0 when nothing is expected
+     *     soon
      * @since 0.1
      */
     public record Grant(
@@ -36,9 +38,9 @@
             double capacity,
             double tokens,
             long validNanos,
-            boolean moreSoon) {
-        Grant withMoreSoon(boolean soon) {
-            return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, soon);
+            long moreAfterNanos) {
+        Grant withMoreAfter(long nanos) {
+            return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, nanos);
         }
     }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -25,8 +25,6 @@
  * @since 0.1
  */
 public final class ShareHolder {
-    private static final long ASK_AGAIN = TimeUnit.MILLISECONDS.toNanos(5);
-
     // Until a grant is acknowledged, the allocator counts the earlier grant and the new tokens.
     private static final long ACKNOWLEDGE_AFTER = TimeUnit.MILLISECONDS.toNanos(30);
 
@@ -143,8 +141,8 @@
             if (share.install(nowNanos, grant, link.sentAt())) {
                 link.makeUrgent(nowNanos);
             }
-            if (grant.moreSoon() && share.bucket().waiting() > 0) {
-                link.makeUrgent(nowNanos + ASK_AGAIN);
+            if (grant.moreAfterNanos() > 0 && share.bucket().waiting() > 0) {
+                link.makeUrgent(nowNanos + grant.moreAfterNanos());
             }
             woken.add(grant.workspace());
         }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -227,6 +227,11 @@
         return mWaiting;
     }
 
+    /** Returns whether a request may still wait for tokens at a time. */
+    synchronized boolean isWaitingUntil(long nanos) {
+        return mWaiting > 0 && nanos - mWaitUntil < 0;
+    }
+
     /** Returns the smoothed number of requests offered each second, including refused ones. */
     public synchronized double demandPerSecond(long nowNanos) {
         advance(nowNanos);
