Keep a short grant until an older one has ended or is acknowledged

A grant of 20 ms was forgotten at its end. When its acknowledgement came later, the older grant that it had replaced counted for up to 1 s more, and the pool had neither its rate nor its capacity.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -71,7 +71,7 @@
     void record(InstanceId instance, ShareRequest.Share share, long nonce, long depositExpiry) {
         LentShare borrower = borrower(instance);
         double freeBefore = freeCapacity();
-        double refund = borrower.acknowledge(nonce);
+        double refund = borrower.acknowledge(mNow, nonce);
         borrower.deposit(share.depositedSlots(), depositExpiry);
         // Tokens count only up to the capacity that comes back with them: capacity that came back
         // earlier, by expiry, has been refilled since, and the same tokens would count twice.
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
@@ -71,7 +71,7 @@
      *
      * @return the tokens of grants that it never received
      */
-    double acknowledge(long nonce) {
+    double acknowledge(long nowNanos, long nonce) {
         double refund = 0;
         int found = -1;
         for (int i = 0; i < mOutstanding.size(); i++) {
@@ -83,7 +83,9 @@
             return 0;
         }
         for (int i = found + 1; i < mOutstanding.size(); i++) {
-            refund += mOutstanding.get(i).tokens;
+            Outstanding lost = mOutstanding.get(i);
+            // The capacity of an ended grant was free since its end, and has been refilled.
+            refund += nowNanos - lost.expiry < 0 ? lost.tokens : 0;
         }
         Outstanding applied = mOutstanding.get(found);
         mOutstanding.clear();
@@ -143,7 +145,11 @@
 
     void forgetEnded(long nowNanos) {
         mDeposits.removeIf(expiry -> nowNanos - expiry >= 0);
-        mOutstanding.removeIf(each -> nowNanos - each.expiry >= 0);
+        // A short grant is kept while an older one runs: when it is acknowledged after its end, it
+        // still shows that the borrower has replaced the older one.
+        while (!mOutstanding.isEmpty() && nowNanos - mOutstanding.get(0).expiry >= 0) {
+            mOutstanding.remove(0);
+        }
     }
 
     boolean hasGrant() {
