Leave out entries of share messages that say nothing new

A request listed each workspace, and an answer each grant, also of idle workspaces. One flag of the request now prolongs the running deposits of all unlisted workspaces, an answer states how many slots it took, and a workspace without an entry in the answer has no grant. A holder lists a running deposit that it does not prolong, so the allocator never prolongs one that the holder gives up.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/AllocatorLink.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/AllocatorLink.java
@@ -1,5 +1,6 @@
 package org.plantainferry.engine.limit;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** Keeps what a borrower knows of its exchange with one allocator. */
@@ -20,10 +21,22 @@
     private int mUnanswered;
     private boolean mAvoided;
     private long mAvoidedUntil;
+    private List<HeldShare> mListed = List.of();
+    private int mDepositedSlots;
+    private boolean mListAll;
     private boolean mUrgent;
     private long mUrgentAt;
 
-    void sent(long nowNanos, long sequence) {
+    /**
+     * Notes a request.
+     *
+     * @param listed the workspaces with an entry; those that the answer leaves out get nothing
+     * @param depositedSlots the slots that the request deposits or prolongs
+     */
+    void sent(long nowNanos, long sequence, List<HeldShare> listed, int depositedSlots) {
+        mListed = listed;
+        mDepositedSlots = depositedSlots;
+        mListAll = false;
         if (mOutstanding != 0) {
             mUnanswered++;
             if (mUnanswered >= UNANSWERED_LIMIT) {
@@ -42,7 +55,9 @@
         return mOutstanding != 0 && mOutstanding == sequence;
     }
 
-    void answered(long nowNanos, long nonce) {
+    /** Notes an answer; the next request lists everything if a deposit was not taken. */
+    void answered(long nowNanos, long nonce, int depositedSlots) {
+        mListAll = depositedSlots != mDepositedSlots;
         mOutstanding = 0;
         mUnanswered = 0;
         mAvoided = false;
@@ -50,6 +65,14 @@
         mNonceSince = nowNanos;
     }
 
+    List<HeldShare> listed() {
+        return mListed;
+    }
+
+    boolean mustListAll() {
+        return mListAll;
+    }
+
     long sentAt() {
         return mSentAt;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -23,6 +23,7 @@
     private long mLeavingAt;
     private double mTokensToReturn;
     private boolean mAskSent;
+    private boolean mAcknowledgeWanted;
 
     HeldShare(long nowNanos, WorkspaceName name) {
         mName = name;
@@ -97,6 +98,7 @@
         }
         double tokens = mTokensToReturn + refreshPermanent(nowNanos, usableSlots, terms);
         mTokensToReturn = 0;
+        mAcknowledgeWanted = false;
         int waiting = mBucket.waiting();
         mAskSent = waiting > 0;
         return new ShareRequest.Share(
@@ -108,9 +110,34 @@
                 waiting);
     }
 
+    /**
+     * Returns whether a request needs an entry for the workspace.
+     *
+     * @param deposits whether the request deposits slots; deposits without an entry are prolonged
+     */
+    boolean needsEntry(long nowNanos, int usableSlots, boolean deposits) {
+        int running = runningDeposits(nowNanos);
+        boolean changed = mayDeposit() ? running != usableSlots : running > 0;
+        return (deposits && changed)
+                || mAcknowledgeWanted
+                || mTokensToReturn > 0
+                || mBucket.waiting() > 0
+                || mBucket.hasGrant(nowNanos)
+                || mBucket.demandPerSecond(nowNanos) > 0;
+    }
+
+    /** Prolongs all running deposits without an entry and returns their number. */
+    int prolong(long nowNanos) {
+        int running = runningDeposits(nowNanos);
+        mDepositExpiries.replaceAll(expiry -> nowNanos + ShareTiming.DEPOSIT_AT_HOLDER);
+        return running;
+    }
+
     /** Returns whether this instance needs the allocator for the workspace. */
     boolean isInterested(long nowNanos, int usableSlots) {
+        // A running deposit needs an entry, or the allocator would prolong it.
         return usableSlots > 0
+                || runningDeposits(nowNanos) > 0
                 || mTokensToReturn > 0
                 || mBucket.waiting() > 0
                 || mBucket.hasGrant(nowNanos)
@@ -126,6 +153,7 @@
 
     /** Installs a grant and returns whether many tokens have to go back. */
     boolean install(long nowNanos, ShareAnswer.Grant grant, long sentAt) {
+        mAcknowledgeWanted = mBucket.hasGrant(nowNanos) || grant.capacity() > 0;
         mTokensToReturn +=
                 mBucket.installGrant(
                         nowNanos,
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LendingBook.java
@@ -80,6 +80,12 @@
         mPool = Math.min(Math.max(0, freeCapacity()), mPool + Math.min(gained, returned));
     }
 
+    /** Prolongs the deposits of a borrower that still run and returns their number. */
+    int prolong(InstanceId instance, long depositExpiry) {
+        LentShare borrower = mBorrowers.get(instance);
+        return borrower == null ? 0 : borrower.prolong(mNow, depositExpiry);
+    }
+
     /** Lends to a borrower what its demand justifies and others do not hold. */
     Loan lend(InstanceId instance, ShareRequest.Share share, long nonce) {
         LentShare borrower = borrower(instance);
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
@@ -66,6 +66,14 @@
         }
     }
 
+    /** Prolongs the deposits that still run and returns their number. */
+    int prolong(long nowNanos, long expiry) {
+        int count = deposits(nowNanos);
+        forgetEndedDeposits(nowNanos);
+        mDeposits.replaceAll(each -> each - expiry < 0 ? expiry : each);
+        return count;
+    }
+
     /**
      * Drops grants that the borrower has replaced or never received.
      *
@@ -143,8 +151,12 @@
         }
     }
 
-    void forgetEnded(long nowNanos) {
+    private void forgetEndedDeposits(long nowNanos) {
         mDeposits.removeIf(expiry -> nowNanos - expiry >= 0);
+    }
+
+    void forgetEnded(long nowNanos) {
+        forgetEndedDeposits(nowNanos);
         // A short grant is kept while an older one runs: when it is acknowledged after its end, it
         // still shows that the borrower has replaced the older one.
         while (!mOutstanding.isEmpty() && nowNanos - mOutstanding.get(0).expiry >= 0) {
@@ -152,10 +164,6 @@
         }
     }
 
-    boolean hasGrant() {
-        return !mOutstanding.isEmpty();
-    }
-
     boolean isEmpty() {
         return mOutstanding.isEmpty() && mDeposits.isEmpty();
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAllocator.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAllocator.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -70,27 +71,51 @@
         long nonce = issueNonce(nowNanos, borrower);
         List<ShareAnswer.Grant> grants = new ArrayList<>();
         Set<InstanceId> recalled = new LinkedHashSet<>();
+        int deposited = 0;
         for (ShareRequest.Share share : request.shares()) {
             LendingBook book =
                     mBooks.computeIfAbsent(share.workspace(), key -> new LendingBook(nowNanos));
             book.advance(nowNanos, mTerms.slotTerms(nowNanos, share.workspace()));
-            echoed.ifPresent(
-                    each ->
-                            book.record(
-                                    request.instance(),
-                                    share,
-                                    each.value,
-                                    each.issuedAt + ShareTiming.DEPOSIT));
+            if (echoed.isPresent()) {
+                long expiry = echoed.get().issuedAt + ShareTiming.DEPOSIT;
+                book.record(request.instance(), share, echoed.get().value, expiry);
+                deposited += share.depositedSlots();
+            }
             LendingBook.Loan loan = book.lend(request.instance(), share, nonce);
-            grants.add(loan.grant());
+            if (!loan.grant().isNone()) {
+                grants.add(loan.grant());
+            }
             recalled.addAll(loan.recalled());
         }
+        if (request.prolongsUnlisted() && echoed.isPresent()) {
+            long expiry = echoed.get().issuedAt + ShareTiming.DEPOSIT;
+            deposited += prolongUnlisted(nowNanos, request, expiry);
+        }
         ShareAnswer answer =
                 new ShareAnswer(
-                        mTerms.configuration().version(), request.sequence(), nonce, grants);
+                        mTerms.configuration().version(),
+                        request.sequence(),
+                        nonce,
+                        deposited,
+                        grants);
         return new AllocatorReply(Optional.of(answer), List.copyOf(recalled));
     }
 
+    /** Prolongs only deposits that still run; one that has ended may be in use elsewhere. */
+    private int prolongUnlisted(long nowNanos, ShareRequest request, long expiry) {
+        Set<WorkspaceName> listed = new HashSet<>();
+        request.shares().forEach(share -> listed.add(share.workspace()));
+        int prolonged = 0;
+        for (Map.Entry<WorkspaceName, LendingBook> entry : mBooks.entrySet()) {
+            if (!listed.contains(entry.getKey())) {
+                LendingBook book = entry.getValue();
+                book.advance(nowNanos, mTerms.slotTerms(nowNanos, entry.getKey()));
+                prolonged += book.prolong(request.instance(), expiry);
+            }
+        }
+        return prolonged;
+    }
+
     private long issueNonce(long nowNanos, Borrower borrower) {
         mNextNonce++;
         if (mNextNonce == 0) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
@@ -9,11 +9,17 @@
  * @param configurationVersion the version in force at the allocator
  * @param sequence the sequence number of the request
  * @param nonce identifies this answer; the next request repeats it
- * @param grants one entry for each workspace of the request
+ * @param depositedSlots the slots that the request deposited or prolonged, over all workspaces; the
+ *     sender lists all its deposits again when it counts otherwise
+ * @param grants the grants for workspaces of the request; one without an entry has nothing granted
  * @since 0.1
  */
 public record ShareAnswer(
-        long configurationVersion, long sequence, long nonce, List<Grant> grants) {
+        long configurationVersion,
+        long sequence,
+        long nonce,
+        int depositedSlots,
+        List<Grant> grants) {
     /** Copies the list. */
     public ShareAnswer {
         grants = List.copyOf(grants);
@@ -39,6 +45,14 @@
             double tokens,
             long validNanos,
             long moreAfterNanos) {
+        static Grant none(WorkspaceName workspace) {
+            return new Grant(workspace, 0, 0, 0, ShareTiming.GRANT, 0);
+        }
+
+        boolean isNone() {
+            return ratePerSecond == 0 && capacity == 0 && tokens == 0 && moreAfterNanos == 0;
+        }
+
         Grant withMoreAfter(long nanos) {
             return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, nanos);
         }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -49,11 +49,15 @@
     private int mScannedSlots = -1;
     private long mConfigurationVersion = -1;
 
+    // Until this time no request prolongs deposits without listing them.
+    private long mListAllUntil;
+
     /** Creates a holder without slots. */
     public ShareHolder(long nowNanos, InstanceId self, ShareTerms terms) {
         mSelf = Preconditions.notNull(self, "self");
         mTerms = Preconditions.notNull(terms, "terms");
         mExtraRequests = new WorkspaceBucket(nowNanos);
+        mListAllUntil = nowNanos;
         followConfiguration(nowNanos);
     }
 
@@ -125,16 +129,19 @@
             return List.of();
         }
         boolean firstNonce = link.nonce(nowNanos) == 0;
-        link.answered(nowNanos, answer.nonce());
+        link.answered(nowNanos, answer.nonce(), answer.depositedSlots());
         if (firstNonce) {
             link.makeUrgent(nowNanos);
         }
         List<WorkspaceName> woken = new ArrayList<>();
-        for (ShareAnswer.Grant grant : answer.grants()) {
-            HeldShare share = mShares.get(grant.workspace());
-            if (share == null || !allocator.equals(share.allocator())) {
+        Map<WorkspaceName, ShareAnswer.Grant> grants = new HashMap<>();
+        answer.grants().forEach(grant -> grants.put(grant.workspace(), grant));
+        for (HeldShare share : link.listed()) {
+            if (mShares.get(share.name()) != share || !allocator.equals(share.allocator())) {
                 continue;
             }
+            ShareAnswer.Grant grant =
+                    grants.getOrDefault(share.name(), ShareAnswer.Grant.none(share.name()));
             if (share.bucket().waiting() > 0 && grant.ratePerSecond() > 0) {
                 link.makeUrgent(nowNanos + ACKNOWLEDGE_AFTER);
             }
@@ -189,20 +196,27 @@
         long nonce = link.nonce(nowNanos);
         // An unanswered request means that the allocator may be gone: the deposit is not prolonged,
         // so that the slots can be used elsewhere soon.
-        boolean prolong = nonce != 0 && !link.isOutstanding();
+        boolean deposits = nonce != 0 && !link.isOutstanding();
+        boolean compact = deposits && !link.mustListAll() && nowNanos - mListAllUntil >= 0;
         List<ShareRequest.Share> entries = new ArrayList<>();
+        List<HeldShare> listed = new ArrayList<>();
+        int depositedSlots = 0;
         for (HeldShare share : shares) {
-            int deposited = prolong && share.mayDeposit() ? usableSlots : 0;
-            entries.add(
-                    share.deposit(
-                            nowNanos,
-                            deposited,
-                            usableSlots,
-                            mTerms.slotTerms(nowNanos, share.name())));
+            boolean listAll = deposits && !compact;
+            if (!listAll && !share.needsEntry(nowNanos, usableSlots, deposits)) {
+                depositedSlots += compact ? share.prolong(nowNanos) : 0;
+                continue;
+            }
+            int deposited = deposits && share.mayDeposit() ? usableSlots : 0;
+            depositedSlots += deposited;
+            listed.add(share);
+            SlotTerms terms = mTerms.slotTerms(nowNanos, share.name());
+            entries.add(share.deposit(nowNanos, deposited, usableSlots, terms));
         }
         mSequence++;
-        link.sent(nowNanos, mSequence);
-        return new ShareRequest(mSelf, mTerms.configuration().version(), mSequence, nonce, entries);
+        link.sent(nowNanos, mSequence, listed, depositedSlots);
+        long version = mTerms.configuration().version();
+        return new ShareRequest(mSelf, version, mSequence, nonce, compact, entries);
     }
 
     private void chooseAllocator(long nowNanos, HeldShare share, List<InstanceId> candidates) {
@@ -232,7 +246,10 @@
         for (Workspace workspace : mTerms.configuration().parts().workspaces()) {
             mShares.computeIfAbsent(workspace.name(), name -> new HeldShare(nowNanos, name));
         }
-        mShares.keySet().removeIf(name -> mTerms.configuration().workspace(name).isEmpty());
+        // The deposits of a removed workspace must run out before it can come back.
+        if (mShares.keySet().removeIf(name -> mTerms.configuration().workspace(name).isEmpty())) {
+            mListAllUntil = nowNanos + ShareTiming.DEPOSIT_AT_HOLDER;
+        }
         mBuckets.keySet().retainAll(mShares.keySet());
         mShares.forEach((name, share) -> mBuckets.put(name, share.bucket()));
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareRequest.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareRequest.java
@@ -11,7 +11,9 @@
  * @param configurationVersion the version in force at the sender
  * @param sequence grows with each request of the sender; a request that arrives late is ignored
  * @param nonce the nonce of the latest answer of this allocator that was applied; 0 for none
- * @param shares one entry for each workspace
+ * @param prolongsUnlisted whether all deposits of the sender that still run are prolonged for the
+ *     workspaces without an entry
+ * @param shares one entry for each workspace of which there is something new to say
  * @since 0.1
  */
 public record ShareRequest(
@@ -19,6 +21,7 @@
         long configurationVersion,
         long sequence,
         long nonce,
+        boolean prolongsUnlisted,
         List<Share> shares) {
     /** Copies the list. */
     public ShareRequest {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/limit/ShareSimulation.java
@@ -273,7 +273,7 @@
     // Sizes of the protobuf messages with the fields that plantainferry-network needs: tags, a
     // fixed64 for each number, and the names.
     private static int requestBytes(ShareRequest request) {
-        int bytes = 30 + request.instance().value().length();
+        int bytes = 32 + request.instance().value().length();
         for (ShareRequest.Share share : request.shares()) {
             bytes += 6 + share.workspace().value().length();
             bytes += share.depositedSlots() > 0 ? 2 : 0;
@@ -286,13 +286,14 @@
     }
 
     private static int answerBytes(ShareAnswer answer) {
-        int bytes = 30;
+        int bytes = 33;
         for (ShareAnswer.Grant grant : answer.grants()) {
             bytes += 4 + grant.workspace().value().length();
             bytes += grant.ratePerSecond() > 0 ? 9 : 0;
             bytes += grant.capacity() > 0 ? 9 : 0;
             bytes += grant.tokens() > 0 ? 9 : 0;
             bytes += 4;
+            bytes += grant.moreAfterNanos() > 0 ? 5 : 0;
         }
         return bytes;
     }
