Forget the demand of a silent borrower that has no grant

A borrower whose grant was recalled when its traffic moved away stated its last demand of up to the whole rate; the allocator counted it for 1.2 s and lent the new place half of the capacity, where tokens overflowed. Without a grant each request would have been an ask, so a silence of eight mean intervals shows that the traffic has ended.

The peer messages carry the new fields.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
@@ -133,7 +133,8 @@
                         .setInstance(request.instance().value())
                         .setConfigurationVersion(request.configurationVersion())
                         .setSequence(request.sequence())
-                        .setNonce(request.nonce());
+                        .setNonce(request.nonce())
+                        .setProlongsUnlisted(request.prolongsUnlisted());
         for (ShareRequest.Share share : request.shares()) {
             builder.addShares(
                     WorkspaceShare.newBuilder()
@@ -153,6 +154,7 @@
                 message.getConfigurationVersion(),
                 message.getSequence(),
                 message.getNonce(),
+                message.getProlongsUnlisted(),
                 message.getSharesList().stream().map(PeerMessages::read).toList());
     }
 
@@ -171,7 +173,8 @@
                 org.plantainferry.network.peer.generated.ShareAnswer.newBuilder()
                         .setConfigurationVersion(answer.configurationVersion())
                         .setSequence(answer.sequence())
-                        .setNonce(answer.nonce());
+                        .setNonce(answer.nonce())
+                        .setDepositedSlots(answer.depositedSlots());
         for (ShareAnswer.Grant grant : answer.grants()) {
             builder.addGrants(
                     WorkspaceGrant.newBuilder()
@@ -180,7 +183,7 @@
                             .setCapacity(grant.capacity())
                             .setTokens(grant.tokens())
                             .setValidNanos(grant.validNanos())
-                            .setMoreSoon(grant.moreSoon()));
+                            .setMoreAfterNanos(grant.moreAfterNanos()));
         }
         return builder.build();
     }
@@ -190,6 +193,7 @@
                 message.getConfigurationVersion(),
                 message.getSequence(),
                 message.getNonce(),
+                message.getDepositedSlots(),
                 message.getGrantsList().stream().map(PeerMessages::read).toList());
     }
 
@@ -200,6 +204,6 @@
                 message.getCapacity(),
                 message.getTokens(),
                 message.getValidNanos(),
-                message.getMoreSoon());
+                message.getMoreAfterNanos());
     }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
@@ -14,10 +14,6 @@
     // the traffic has ended, long before the average does.
     private static final double LONGEST_GAP = 3;
 
-    // In random traffic such a gap has a chance of 0.03%. Until the demand is zero, the instance
-    // counts as a borrower and keeps a part of the capacity away from where the traffic is now.
-    private static final double ENDING_GAP = 8;
-
     private double mPerSecond;
     private double mPerSecondAtCount;
     private long mUpdated;
@@ -41,7 +37,7 @@
             return 0;
         }
         long gap = Math.max(1, nowNanos - mLastCounted);
-        if (gap / ShareTiming.NANOS_PER_SECOND * mPerSecondAtCount > ENDING_GAP) {
+        if (gap / ShareTiming.NANOS_PER_SECOND * mPerSecondAtCount > ShareTiming.ENDING_GAP) {
             return 0;
         }
         return Math.min(mPerSecond, LONGEST_GAP * ShareTiming.NANOS_PER_SECOND / gap);
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
@@ -41,7 +41,14 @@
     }
 
     boolean isActive(long nowNanos) {
-        return nowNanos - mSeen < ACTIVE && (mDemand > 0 || mStarving);
+        return nowNanos - mSeen < ACTIVE
+                && (mStarving || (mDemand > 0 && !hasTrafficEnded(nowNanos)));
+    }
+
+    /** Returns whether a borrower without a grant has been silent for longer than its traffic. */
+    private boolean hasTrafficEnded(long nowNanos) {
+        double seconds = (nowNanos - mSeen) / ShareTiming.NANOS_PER_SECOND;
+        return lentCapacity(nowNanos) == 0 && seconds * mDemand > ShareTiming.ENDING_GAP;
     }
 
     int deposits(long atNanos) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTiming.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTiming.java
@@ -6,6 +6,13 @@
 final class ShareTiming {
     static final double NANOS_PER_SECOND = 1e9;
 
+    /**
+     * The gap, in mean intervals between requests, after which traffic counts as ended. In random
+     * traffic such a gap has a chance of 0.03%. Until then the instance counts as a borrower and
+     * keeps a part of the capacity away from where the traffic is now.
+     */
+    static final double ENDING_GAP = 8;
+
     /** The period of the requests to an allocator. */
     static final long REQUEST_PERIOD = TimeUnit.MILLISECONDS.toNanos(500);
 
