--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/DemandMeter.java
@@ -15,6 +15,7 @@
     private static final double LONGEST_GAP = 3;
 
     private double mPerSecond;
+    private double mPerSecondAtCount;
     private long mUpdated;
     private long mLastCounted;
 
@@ -26,6 +27,7 @@
     void count(long nowNanos) {
         decay(nowNanos);
         mPerSecond += ShareTiming.NANOS_PER_SECOND / TIME_CONSTANT;
+        mPerSecondAtCount = mPerSecond;
         mLastCounted = nowNanos;
     }
 
@@ -35,6 +37,9 @@
             return 0;
         }
         long gap = Math.max(1, nowNanos - mLastCounted);
+        if (gap / ShareTiming.NANOS_PER_SECOND * mPerSecondAtCount > ShareTiming.ENDING_GAP) {
+            return 0;
+        }
         return Math.min(mPerSecond, LONGEST_GAP * ShareTiming.NANOS_PER_SECOND / gap);
     }
 
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/LentShare.java
@@ -41,7 +41,14 @@
     }
 
     boolean isActive(long nowNanos) {
-        return nowNanos - mSeen < ACTIVE && (mDemand > 0 || mStarving);
+        return nowNanos - mSeen < ACTIVE
+                && (mStarving || (mDemand > 0 && !hasTrafficEnded(nowNanos)));
+    }
+
+    /** Returns whether a borrower without a grant has been silent for longer than its traffic. */
+    private boolean hasTrafficEnded(long nowNanos) {
+        double seconds = (nowNanos - mSeen) / ShareTiming.NANOS_PER_SECOND;
+        return lentCapacity(nowNanos) == 0 && seconds * mDemand > ShareTiming.ENDING_GAP;
     }
 
     int deposits(long atNanos) {
@@ -66,12 +73,20 @@
         }
     }
 
+    /** Prolongs the deposits that still run and returns their number. */
+    int prolong(long nowNanos, long expiry) {
+        int count = deposits(nowNanos);
+        forgetEndedDeposits(nowNanos);
+        mDeposits.replaceAll(each -> each - expiry < 0 ? expiry : each);
+        return count;
+    }
+
     /**
      * Drops grants that the borrower has replaced or never received.
      *
      * @return the tokens of grants that it never received
      */
-    double acknowledge(long nonce) {
+    double acknowledge(long nowNanos, long nonce) {
         double refund = 0;
         int found = -1;
         for (int i = 0; i < mOutstanding.size(); i++) {
@@ -83,7 +98,9 @@
             return 0;
         }
         for (int i = found + 1; i < mOutstanding.size(); i++) {
-            refund += mOutstanding.get(i).tokens;
+            Outstanding lost = mOutstanding.get(i);
+            // The capacity of an ended grant was free since its end, and has been refilled.
+            refund += nowNanos - lost.expiry < 0 ? lost.tokens : 0;
         }
         Outstanding applied = mOutstanding.get(found);
         mOutstanding.clear();
@@ -141,13 +158,17 @@
         }
     }
 
-    void forgetEnded(long nowNanos) {
+    private void forgetEndedDeposits(long nowNanos) {
         mDeposits.removeIf(expiry -> nowNanos - expiry >= 0);
-        mOutstanding.removeIf(each -> nowNanos - each.expiry >= 0);
     }
 
-    boolean hasGrant() {
-        return !mOutstanding.isEmpty();
+    void forgetEnded(long nowNanos) {
+        forgetEndedDeposits(nowNanos);
+        // A short grant is kept while an older one runs: when it is acknowledged after its end, it
+        // still shows that the borrower has replaced the older one.
+        while (!mOutstanding.isEmpty() && nowNanos - mOutstanding.get(0).expiry >= 0) {
+            mOutstanding.remove(0);
+        }
     }
 
     boolean isEmpty() {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareAnswer.java
@@ -9,11 +9,17 @@
  * @param configurationVersion the version in force at the allocator
  * @param sequence the sequence number of the request
  * @param nonce identifies this answer; the next request repeats it
- * @param grants one entry for each workspace of the request
+ * @param depositedSlots the slots that the request deposited or prolonged, over all workspaces; the
+ *     sender lists all its deposits again when it counts otherwise
+ * @param grants the grants for workspaces of the request; one without an entry has nothing granted
  * @since 0.1
  */
 public record ShareAnswer(
-        long configurationVersion, long sequence, long nonce, List<Grant> grants) {
+        long configurationVersion,
+        long sequence,
+        long nonce,
+        int depositedSlots,
+        List<Grant> grants) {
     /** Copies the list. */
     public ShareAnswer {
         grants = List.copyOf(grants);
@@ -27,7 +33,9 @@
      * @param capacity the most tokens that the borrower may hold
      * @param tokens tokens added to those the borrower has
      * @param validNanos lifetime, which the borrower counts from the sending of its request
-     * @param moreSoon whether other borrowers were asked to return tokens or capacity
+     * @param moreAfterNanos the time after which waiting requests should be asked for again,
+     *     because others were asked to return tokens or a token is due; 0 when nothing is expected
+     *     soon
      * @since 0.1
      */
     public record Grant(
@@ -36,9 +44,17 @@
             double capacity,
             double tokens,
             long validNanos,
-            boolean moreSoon) {
-        Grant withMoreSoon(boolean soon) {
-            return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, soon);
+            long moreAfterNanos) {
+        static Grant none(WorkspaceName workspace) {
+            return new Grant(workspace, 0, 0, 0, ShareTiming.GRANT, 0);
+        }
+
+        boolean isNone() {
+            return ratePerSecond == 0 && capacity == 0 && tokens == 0 && moreAfterNanos == 0;
+        }
+
+        Grant withMoreAfter(long nanos) {
+            return new Grant(workspace, ratePerSecond, capacity, tokens, validNanos, nanos);
         }
     }
 }
