Give each workspace its own requests out of turn

Cause: 30 extra share requests a second were shared by all workspaces of an instance, and when they were used up the asks of all workspaces ended, so a workspace over its rate could get others refused. Change: each workspace has 25 a second with a burst of 25, and only its own ask ends.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -16,6 +16,12 @@
     private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(5);
 
     private final WorkspaceName mName;
+
+    /** Requests out of turn for one workspace, so that none takes the turns of the others. */
+    private static final double EARLY_ASKS_PER_SECOND = 25;
+
+    private static final double EARLY_ASKS_BURST = 25;
+
     private final WorkspaceBucket mBucket;
     private final List<Long> mDepositExpiries = new ArrayList<>();
     private InstanceId mAllocator;
@@ -23,17 +29,32 @@
     private long mLeavingAt;
     private double mTokensToReturn;
     private boolean mAskSent;
+    private double mEarlyAsks = EARLY_ASKS_BURST;
+    private long mEarlyAsksNanos;
     private boolean mAcknowledgeWanted;
 
     HeldShare(long nowNanos, WorkspaceName name) {
         mName = name;
         mBucket = new WorkspaceBucket(nowNanos);
+        mEarlyAsksNanos = nowNanos;
     }
 
     WorkspaceName name() {
         return mName;
     }
 
+    /** Takes one request out of turn, or returns false when this workspace has had its part. */
+    boolean mayAskEarly(long nowNanos) {
+        double seconds = (nowNanos - mEarlyAsksNanos) / ShareTiming.NANOS_PER_SECOND;
+        mEarlyAsksNanos = nowNanos;
+        mEarlyAsks = Math.min(EARLY_ASKS_BURST, mEarlyAsks + seconds * EARLY_ASKS_PER_SECOND);
+        if (mEarlyAsks < 1) {
+            return false;
+        }
+        mEarlyAsks--;
+        return true;
+    }
+
     WorkspaceBucket bucket() {
         return mBucket;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -30,19 +30,15 @@
 
     // With 500 workspaces a look at each of them on every tick would take some percent of a core.
     private static final long SCAN_PERIOD = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final double EXTRA_REQUESTS_PER_SECOND = 30;
-    private static final double EXTRA_REQUESTS_BURST = 60;
 
     // Any time that is longer than the pauses between two ticks; the bucket compares times by their
     // difference, which must not overflow.
-    private static final long EXTRA_REQUESTS_LAPSE = TimeUnit.HOURS.toNanos(1);
 
     private final InstanceId mSelf;
     private final ShareTerms mTerms;
     private final Map<WorkspaceName, HeldShare> mShares = new LinkedHashMap<>();
     private final Map<WorkspaceName, WorkspaceBucket> mBuckets = new ConcurrentHashMap<>();
     private final Map<InstanceId, AllocatorLink> mLinks = new HashMap<>();
-    private final WorkspaceBucket mExtraRequests;
     private final Map<InstanceId, Set<HeldShare>> mInterested = new LinkedHashMap<>();
     private long mSequence;
     private long mScanned;
@@ -56,7 +52,6 @@
     public ShareHolder(long nowNanos, InstanceId self, ShareTerms terms) {
         mSelf = Preconditions.notNull(self, "self");
         mTerms = Preconditions.notNull(terms, "terms");
-        mExtraRequests = new WorkspaceBucket(nowNanos);
         mListAllUntil = nowNanos;
         followConfiguration(nowNanos);
     }
@@ -74,11 +69,6 @@
      */
     public List<SendShareRequest> tick(long nowNanos, int usableSlots, AllocatorRanking ranking) {
         followConfiguration(nowNanos);
-        mExtraRequests.setPermanent(
-                nowNanos,
-                EXTRA_REQUESTS_PER_SECOND,
-                EXTRA_REQUESTS_BURST,
-                nowNanos + EXTRA_REQUESTS_LAPSE);
         if (usableSlots != mScannedSlots || nowNanos - mScanned >= SCAN_PERIOD) {
             scan(nowNanos, usableSlots, ranking);
         }
@@ -173,24 +163,32 @@
     }
 
     private boolean isDue(long nowNanos, AllocatorLink link, Collection<HeldShare> shares) {
+        boolean isDueAnyway = link.isPeriodDue(nowNanos) || link.isUrgent(nowNanos);
         boolean asked = false;
         for (HeldShare share : shares) {
-            asked |= share.bucket().takeAskWanted();
+            if (share.bucket().takeAskWanted() && !isDueAnyway) {
+                asked |= mayAsk(nowNanos, share);
+            }
         }
-        if (link.isPeriodDue(nowNanos) || link.isUrgent(nowNanos)) {
+        if (isDueAnyway) {
             return true;
         }
         if (!asked) {
             return false;
         }
-        if (!(mExtraRequests.tryAcquire(nowNanos) instanceof Acquisition.Granted)) {
-            shares.forEach(share -> share.bucket().endAsk(nowNanos, false));
-            return false;
-        }
         link.makeUrgent(nowNanos);
         return link.isUrgent(nowNanos);
     }
 
+    /** Ends the ask of a workspace that asks too often; the asks of others are not affected. */
+    private static boolean mayAsk(long nowNanos, HeldShare share) {
+        if (share.mayAskEarly(nowNanos)) {
+            return true;
+        }
+        share.bucket().endAsk(nowNanos, false);
+        return false;
+    }
+
     private ShareRequest request(
             long nowNanos, AllocatorLink link, Collection<HeldShare> shares, int usableSlots) {
         long nonce = link.nonce(nowNanos);
