Add the load command: callers in a closed loop or at a rate, on loopback only

With a rate, latency counts from the planned start of each request, so a stall counts for the requests that it delayed. Answers are counted by verdict and code.

--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/load/LoadMain.java
@@ -0,0 +1,45 @@
+package org.plantainferry.verification.load;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.verification.standin.StandInLogging;
+
+/**
+ * Runs callers against instances from the command line.
+ *
+ * @since 0.1
+ */
+public final class LoadMain {
+    private static final int EXIT_USAGE = 2;
+
+    private LoadMain() {}
+
+    /** Runs the callers that the options describe, and prints the report. */
+    public static void main(String[] arguments) throws InterruptedException {
+        StandInLogging.useWarnings();
+        LoadOptions options = new LoadOptions();
+        JCommander commander =
+                JCommander.newBuilder().programName("load").addObject(options).build();
+        LoadPlan plan;
+        try {
+            commander.parse(arguments);
+            if (options.isHelp()) {
+                commander.usage();
+                return;
+            }
+            plan = options.plan();
+        } catch (ParameterException | PlantainferryException e) {
+            System.err.println("load: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+        System.out.print(new LoadRunner(group).run(plan).text());
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/load/LoadOptions.java
@@ -0,0 +1,68 @@
+package org.plantainferry.verification.load;
+
+import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Holds the options of the load command. */
+final class LoadOptions {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    @Parameter(
+            names = "--addresses",
+            required = true,
+            description = "IP:PORT of instances, with commas; loopback only")
+    private List<String> mAddresses = new ArrayList<>();
+
+    @Parameter(names = "--key", required = true, description = "the key of the callers")
+    private String mKey;
+
+    @Parameter(names = "--service", required = true, description = "the service to call")
+    private String mService;
+
+    @Parameter(names = "--callers", description = "connections with one request at a time")
+    private int mCallers = 16;
+
+    @Parameter(names = "--rate", description = "requests a second; a closed loop when absent")
+    private Double mRate;
+
+    @Parameter(names = "--reads", description = "the share of reads, 0 to 1")
+    private double mReads = 0.9;
+
+    @Parameter(names = "--sessions", description = "callers carry session tokens")
+    private boolean mSessions;
+
+    @Parameter(names = "--roam", description = "callers change the instance after each answer")
+    private boolean mRoam;
+
+    @Parameter(names = "--seconds", description = "measured time")
+    private long mSeconds = 10;
+
+    @Parameter(names = "--warm-up", description = "seconds before measuring")
+    private long mWarmUp = 2;
+
+    @Parameter(names = "--seed", description = "seed of the random choices")
+    private long mSeed = 1;
+
+    @Parameter(names = "--help", help = true, description = "shows this help")
+    private boolean mHelp;
+
+    boolean isHelp() {
+        return mHelp;
+    }
+
+    LoadPlan plan() {
+        return new LoadPlan(
+                mAddresses,
+                RequestForm.toInstance(mService, mKey),
+                mCallers,
+                Optional.ofNullable(mRate),
+                mReads,
+                mSessions,
+                mRoam,
+                mWarmUp * MILLIS_PER_SECOND,
+                mSeconds * MILLIS_PER_SECOND,
+                mSeed);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/load/LoadRunnerTest.java
@@ -0,0 +1,104 @@
+package org.plantainferry.verification.load;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.verification.standin.group.GroupSettings;
+import org.plantainferry.verification.standin.group.GroupStandIn;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Guards the figures of load runs and the refusal of other machines' addresses. */
+public class LoadRunnerTest {
+    private static final long SERVICE_MILLIS = 40;
+
+    private GroupStandIn mGroup;
+    private EventLoopGroup mLoops;
+
+    @BeforeClass
+    public void startServer() {
+        mGroup =
+                new GroupStandIn(
+                        GroupSettings.withDefaults(
+                                "ledger",
+                                "127.0.0.1:0",
+                                List.of(new GroupSettings.Server("ledger-1", "127.0.0.1:0"))));
+        mGroup.setServiceMillis("ledger-1", SERVICE_MILLIS);
+        mLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopServer() {
+        mGroup.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void countsTheDelayThatASlowServerCausesForPlannedRequests() throws Exception {
+        // One caller can complete 25 requests a second; at 100 planned the backlog grows by 0.75 s
+        // each second, which a latency counted from the actual sending would hide.
+        LoadReport report = run(Optional.of(100.0), 2_000);
+        assertTrue(report.millis(90) > 500, report.text());
+    }
+
+    @Test
+    public void measuresAClosedLoopFromTheSendingOfEachRequest() throws Exception {
+        LoadReport report = run(Optional.empty(), 1_000);
+        assertEquals(report.errorCount(), 0, report.text());
+        assertTrue(report.latency().getTotalCount() >= 3, report.text());
+        assertTrue(report.latency().getMinValue() >= SERVICE_MILLIS * 900_000, report.text());
+    }
+
+    @Test
+    public void countsAnUnreachableAddressAsConnectionErrors() throws Exception {
+        LoadPlan plan =
+                new LoadPlan(
+                        List.of("127.0.0.1:1"),
+                        RequestForm.toServer(1),
+                        1,
+                        Optional.empty(),
+                        1,
+                        false,
+                        false,
+                        0,
+                        300,
+                        1);
+        LoadReport report = new LoadRunner(mLoops).run(plan);
+        assertEquals(report.errors().keySet().toString(), "[NONE CONNECTION]");
+    }
+
+    @Test
+    public void refusesAddressesOfOtherMachines() {
+        Exception failure =
+                expectThrows(
+                        PlantainferryException.class,
+                        () -> LoopbackAddresses.require("192.0.2.1:80"));
+        assertTrue(failure.getMessage().contains("loopback"), failure.getMessage());
+    }
+
+    private LoadReport run(Optional<Double> rate, long millis) throws InterruptedException {
+        String address = "127.0.0.1:" + mGroup.address("ledger-1").getPort();
+        LoadPlan plan =
+                new LoadPlan(
+                        List.of(address),
+                        RequestForm.toServer(1),
+                        1,
+                        rate,
+                        1,
+                        false,
+                        false,
+                        200,
+                        millis,
+                        1);
+        return new LoadRunner(mLoops).run(plan);
+    }
+}
