--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/PolicyBench.java
@@ -0,0 +1,212 @@
+package org.plantainferry.verification.bench;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.daemon.settings.DaemonSettings;
+import org.plantainferry.verification.load.LoadPlan;
+import org.plantainferry.verification.load.LoadReport;
+import org.plantainferry.verification.load.LoadRunner;
+import org.plantainferry.verification.load.RequestForm;
+
+/** Compares the standard policy with the simplest one at reduced sizes of both deployments. */
+final class PolicyBench {
+    private static final int INSTANCES = 6;
+    private static final int WORKSPACES = 8;
+    private static final double RATE = 100;
+    private static final double BURST = 25;
+    private static final double USUAL_PART = 0.6;
+    private static final double BUSY_FACTOR = 10;
+    private static final double ONE_INSTANCE_PART = 0.8;
+    private static final long SETTLE_MILLIS = 8_000;
+    private static final long WARM_UP_MILLIS = 3_000;
+
+    private final EventLoopGroup mGroup;
+    private final Results mResults;
+    private final long mMillis;
+    private final long mSeed;
+    private final int mStops;
+
+    PolicyBench(EventLoopGroup group, Results results, long seconds, long seed, int stops) {
+        mGroup = group;
+        mResults = results;
+        mMillis = TimeUnit.SECONDS.toMillis(seconds);
+        mSeed = seed;
+        mStops = stops;
+    }
+
+    void run() throws IOException, InterruptedException {
+        mResults.line("seed %d; reduced to %d instances, all in one process; no latency", mSeed, 6);
+        mResults.line(
+                "between failure domains; %d workspaces with rate %.0f/s, burst %.0f",
+                8, RATE, BURST);
+        for (PolicyDeployment deployment : PolicyDeployment.both()) {
+            for (DaemonSettings.Policy policy : DaemonSettings.Policy.values()) {
+                mResults.line("");
+                mResults.line("== %s, policy %s", deployment.name(), policy);
+                try (PolicyFleet fleet =
+                        new PolicyFleet(
+                                mGroup,
+                                deployment,
+                                policy,
+                                Configurations.domains(INSTANCES, deployment.domains()),
+                                WORKSPACES,
+                                RATE,
+                                BURST,
+                                mSeed)) {
+                    TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+                    replicaShare(fleet);
+                    oneInstance(fleet);
+                    worstServed(fleet);
+                    failover(fleet);
+                }
+                mResults.load("after it");
+            }
+        }
+    }
+
+    private void replicaShare(PolicyFleet fleet) throws InterruptedException {
+        // Each caller writes and reads in turn at random, and each read follows an answer with a
+        // token; half of the reads directly follow a write of the same session.
+        List<LoadReport> reports = new ArrayList<>();
+        List<LoadPlan> plans = new ArrayList<>();
+        for (int workspace = 0; workspace < WORKSPACES; workspace++) {
+            plans.add(plan(fleet.callers(), fleet, workspace, RATE * USUAL_PART, 0.5, true));
+        }
+        reports.addAll(runAll(plans));
+        long reads = reports.stream().mapToLong(LoadReport::reads).sum();
+        long replicas = reports.stream().mapToLong(LoadReport::replicaReads).sum();
+        double share = 100.0 * replicas / Math.max(1, reads);
+        mResults.line(
+                "reads at replicas: %.1f%% of %d (sessions, half writes, lag 5 to 20 ms): %s",
+                share, reads, share >= 90 ? "aim met" : "AIM MISSED (90%)");
+    }
+
+    private void oneInstance(PolicyFleet fleet) throws InterruptedException {
+        List<String> one = fleet.callers().subList(0, 1);
+        LoadReport report =
+                runAll(List.of(plan(one, fleet, 1, RATE * ONE_INSTANCE_PART, 0.9, false))).get(0);
+        long refused =
+                report.errors().entrySet().stream()
+                        .filter(each -> each.getKey().endsWith("RATE_EXCEEDED"))
+                        .mapToLong(each -> each.getValue())
+                        .sum();
+        long all = report.latency().getTotalCount() + report.errorCount();
+        double part = 100.0 * refused / Math.max(1, all);
+        mResults.line(
+                "wrongful refusals: %.3f%% of %d at 80%% of the rate on one instance, p99 %.1f ms,"
+                        + " errors %s: %s",
+                part,
+                all,
+                report.millis(99),
+                report.errors(),
+                part < 0.1 ? "aim met" : "AIM MISSED (0.1%)");
+    }
+
+    private void worstServed(PolicyFleet fleet) throws InterruptedException {
+        List<LoadPlan> plans = new ArrayList<>();
+        for (int workspace = 0; workspace < WORKSPACES; workspace++) {
+            double rate = RATE * (workspace == 0 ? BUSY_FACTOR : USUAL_PART);
+            plans.add(plan(fleet.callers(), fleet, workspace, rate, 0.8, true));
+        }
+        List<LoadReport> reports = runAll(plans);
+        LoadReport busy = reports.get(0);
+        List<LoadReport> others = reports.subList(1, reports.size());
+        double[] success = others.stream().mapToDouble(LoadReport::success).sorted().toArray();
+        double[] latency = others.stream().mapToDouble(each -> each.millis(99)).sorted().toArray();
+        double medianSuccess = success[success.length / 2];
+        double medianLatency = latency[latency.length / 2];
+        double worstLatency = latency[latency.length - 1];
+        boolean isMet = success[0] >= 0.9 * medianSuccess && worstLatency <= 1.1 * medianLatency;
+        mResults.line(
+                "worst-served of 7 workspaces: success %.2f%% (median %.2f%%), p99 %.1f ms (median"
+                        + " %.1f, all %s): %s",
+                100 * success[0],
+                100 * medianSuccess,
+                worstLatency,
+                medianLatency,
+                rounded(latency),
+                isMet ? "aim met" : "AIM MISSED (within 10%)");
+        others.stream()
+                .filter(each -> each.errorCount() > 0)
+                .forEach(each -> mResults.line("   errors of one of the seven: %s", each.errors()));
+        mResults.line(
+                "   the busy one: %.0f/s succeeded of %.0f/s sent, errors %s",
+                busy.throughput(), RATE * BUSY_FACTOR, busy.errors());
+    }
+
+    private void failover(PolicyFleet fleet) throws InterruptedException {
+        double[] gaps = new double[mStops];
+        for (int stop = 0; stop < mStops; stop++) {
+            gaps[stop] = new FailoverGap(fleet).measure();
+        }
+        Arrays.sort(gaps);
+        double median = gaps[gaps.length / 2];
+        double most = gaps[gaps.length - 1];
+        mResults.line(
+                "failover gap until all instances write again, ms, %d stops: median %.0f, most"
+                        + " %.0f, all %s: %s",
+                mStops,
+                median,
+                most,
+                rounded(gaps),
+                median <= 2_000 && most <= 5_000 ? "aim met" : "AIM MISSED (median 2 s, most 5 s)");
+    }
+
+    private static String rounded(double[] values) {
+        return Arrays.toString(Arrays.stream(values).mapToLong(Math::round).toArray());
+    }
+
+    private LoadPlan plan(
+            List<String> addresses,
+            PolicyFleet fleet,
+            int workspace,
+            double rate,
+            double reads,
+            boolean sessions) {
+        String key = Configurations.key(workspace);
+        RequestForm form =
+                (caller, number, read, session) ->
+                        RequestForm.toInstance(fleet.service(caller), key)
+                                .create(caller + 100 * workspace, number, read, session);
+        return new LoadPlan(
+                addresses,
+                form,
+                24,
+                Optional.of(rate),
+                reads,
+                sessions,
+                sessions,
+                WARM_UP_MILLIS,
+                mMillis,
+                mSeed + workspace);
+    }
+
+    private List<LoadReport> runAll(List<LoadPlan> plans) throws InterruptedException {
+        LoadReport[] reports = new LoadReport[plans.size()];
+        List<Thread> threads = new ArrayList<>();
+        for (int index = 0; index < reports.length; index++) {
+            int each = index;
+            Thread thread =
+                    new Thread(
+                            () -> {
+                                try {
+                                    reports[each] = new LoadRunner(mGroup).run(plans.get(each));
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                            },
+                            "load-" + index);
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return List.of(reports);
+    }
+}
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/ShareBench.java
@@ -0,0 +1,153 @@
+package org.plantainferry.verification.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.InstanceId;
+import org.plantainferry.api.WorkspaceName;
+import org.plantainferry.api.configuration.Configuration;
+import org.plantainferry.engine.limit.AllocatorRanking;
+import org.plantainferry.engine.limit.AllocatorReply;
+import org.plantainferry.engine.limit.SendShareRequest;
+import org.plantainferry.engine.limit.ShareAllocator;
+import org.plantainferry.engine.limit.ShareHolder;
+import org.plantainferry.engine.limit.ShareTerms;
+import org.plantainferry.engine.membership.Member;
+import org.plantainferry.engine.membership.MembershipSnapshot;
+import org.plantainferry.engine.membership.RendezvousHash;
+
+/**
+ * Runs the holders and allocators of 520 instances on a simulated clock.
+ *
+ * <p>Every instance holds two slots and no workspace has traffic; the messages of lending are sent
+ * all the same. Only one holder ticks as often as in a daemon, and the holder's processor time is
+ * taken from it; the others tick when their requests are due.
+ */
+final class ShareBench {
+    private static final int[] WORKSPACES = {8, 80, 400};
+    private static final int SLOTS = 2;
+
+    // The pause between two ticks of the daemon.
+    private static final long STEP_MILLIS = 10;
+    private static final int STEPS_PER_REQUEST = 50;
+    private static final int STEPS_PER_SECOND = 100;
+    private static final int SECONDS = 6;
+
+    private final Results mResults;
+    private final RendezvousHash mHash =
+            new RendezvousHash(new MembershipSnapshot(1, EngineBench.members()));
+
+    /** Counts what one instance sent, received and spent. */
+    private static final class Cost {
+        private long mMessages;
+        private long mBytes;
+        private long mHolderNanos;
+        private long mAllocatorNanos;
+    }
+
+    ShareBench(Results results) {
+        mResults = results;
+    }
+
+    void run() {
+        for (int workspaces : WORKSPACES) {
+            long heap = CostSample.heapBytes();
+            Simulation simulation = new Simulation(workspaces);
+            simulation.run(SECONDS / 2);
+            simulation.mCosts.clear();
+            simulation.run(SECONDS - SECONDS / 2);
+            double memory = (CostSample.heapBytes() - heap) / 1e6 / EngineBench.INSTANCES;
+            report(workspaces, simulation, memory);
+        }
+    }
+
+    private void report(int workspaces, Simulation simulation, double memory) {
+        double seconds = SECONDS - SECONDS / 2;
+        double bytes = 0;
+        double messages = 0;
+        double most = 0;
+        double holder = simulation.cost(simulation.mSampled).mHolderNanos / 1e7 / seconds;
+        double allocator = 0;
+        double busiest = 0;
+        for (Cost cost : simulation.mCosts.values()) {
+            bytes += cost.mBytes / seconds / EngineBench.INSTANCES;
+            messages += cost.mMessages / seconds / EngineBench.INSTANCES;
+            most = Math.max(most, cost.mBytes / seconds);
+            allocator += cost.mAllocatorNanos / 1e7 / seconds / EngineBench.INSTANCES;
+            busiest = Math.max(busiest, cost.mAllocatorNanos / 1e7 / seconds);
+        }
+        mResults.line(
+                "shares: %d workspaces without traffic: for each instance %.1f KB/s (most %.1f),"
+                        + " %.1f messages/s, holder %.3f%% of a core, allocator %.3f%%"
+                        + " (most %.2f%%), %.3f MB",
+                workspaces, bytes / 1e3, most / 1e3, messages, holder, allocator, busiest, memory);
+    }
+
+    private final class Simulation {
+        private final Map<InstanceId, ShareHolder> mHolders = new HashMap<>();
+        private final Map<InstanceId, ShareAllocator> mAllocators = new HashMap<>();
+        private final Map<InstanceId, Cost> mCosts = new HashMap<>();
+        private final AllocatorRanking mRanking = name -> rank(name);
+        private final InstanceId mSampled = EngineBench.members().get(0).id();
+        private long mNow;
+
+        Simulation(int workspaces) {
+            Configuration configuration = EngineBench.configuration(3, workspaces);
+            for (Member member : EngineBench.members()) {
+                ShareTerms terms = new ShareTerms(configuration);
+                mHolders.put(member.id(), new ShareHolder(0, member.id(), terms));
+                mAllocators.put(member.id(), new ShareAllocator(0, terms, 1));
+            }
+        }
+
+        void run(int seconds) {
+            for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
+                mNow += TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS);
+                tick(mSampled, mHolders.get(mSampled));
+                if (step % STEPS_PER_REQUEST == 0) {
+                    mHolders.forEach(this::tick);
+                }
+            }
+        }
+
+        private void tick(InstanceId instance, ShareHolder holder) {
+            Cost cost = cost(instance);
+            long start = System.nanoTime();
+            List<SendShareRequest> requests = holder.tick(mNow, SLOTS, mRanking);
+            cost.mHolderNanos += System.nanoTime() - start;
+            for (SendShareRequest each : requests) {
+                Cost other = cost(each.allocator());
+                long asked = System.nanoTime();
+                AllocatorReply reply =
+                        mAllocators.get(each.allocator()).request(mNow, each.request());
+                other.mAllocatorNanos += System.nanoTime() - asked;
+                reply.answer()
+                        .ifPresent(
+                                answer -> {
+                                    long answered = System.nanoTime();
+                                    holder.answered(mNow, each.allocator(), answer);
+                                    cost.mHolderNanos += System.nanoTime() - answered;
+                                    // An instance that is its own allocator sends nothing.
+                                    if (!instance.equals(each.allocator())) {
+                                        int bytes =
+                                                PeerSizes.request(each.request())
+                                                        + PeerSizes.answer(answer);
+                                        for (Cost side : List.of(cost, other)) {
+                                            side.mMessages += 2;
+                                            side.mBytes += bytes;
+                                        }
+                                    }
+                                });
+            }
+        }
+
+        private Cost cost(InstanceId instance) {
+            return mCosts.computeIfAbsent(instance, key -> new Cost());
+        }
+
+        private List<InstanceId> rank(WorkspaceName name) {
+            return mHash.rank(name.value(), 2);
+        }
+    }
+}
