--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/BenchMain.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/BenchMain.java
@@ -55,6 +55,9 @@
             case "slopes":
                 new SlopesBench(group, results, options.seconds(), options.seed()).run();
                 break;
+            case "engine":
+                new EngineBench(results).run();
+                break;
             case "policy":
                 new PolicyBench(group, results, options.seconds(), options.seed(), options.stops())
                         .run();
