--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/HeldShare.java
@@ -15,13 +15,12 @@
     // The permanent part lapses after a pause of the control thread of this length.
     private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(5);
 
-    private final WorkspaceName mName;
-
     /** Requests out of turn for one workspace, so that none takes the turns of the others. */
     private static final double EARLY_ASKS_PER_SECOND = 25;
 
     private static final double EARLY_ASKS_BURST = 25;
 
+    private final WorkspaceName mName;
     private final WorkspaceBucket mBucket;
     private final List<Long> mDepositExpiries = new ArrayList<>();
     private InstanceId mAllocator;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareHolder.java
@@ -31,9 +31,6 @@
     // With 500 workspaces a look at each of them on every tick would take some percent of a core.
     private static final long SCAN_PERIOD = TimeUnit.MILLISECONDS.toNanos(50);
 
-    // Any time that is longer than the pauses between two ticks; the bucket compares times by their
-    // difference, which must not overflow.
-
     private final InstanceId mSelf;
     private final ShareTerms mTerms;
     private final Map<WorkspaceName, HeldShare> mShares = new LinkedHashMap<>();
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTerms.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTerms.java
@@ -1,7 +1,9 @@
 package org.plantainferry.engine.limit;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.Preconditions;
@@ -21,24 +23,31 @@
  * @since 0.1
  */
 public final class ShareTerms {
-    private record Past(Configuration configuration, long replacedAt) {}
+    /** Holds an earlier version; its workspaces are indexed, as each of many is looked up often. */
+    private record Past(
+            Configuration configuration,
+            Map<WorkspaceName, Workspace> workspaces,
+            long replacedAt) {}
 
     private record StoredSlots(FailureDomain domain, int slots, int total, long since) {}
 
     private final List<Past> mPast = new ArrayList<>();
     private Optional<StoredSlots> mStored = Optional.empty();
     private Configuration mCurrent;
+    private Map<WorkspaceName, Workspace> mWorkspaces;
 
     /** Creates terms from the first known version, which counts as settled. */
     public ShareTerms(Configuration configuration) {
         mCurrent = Preconditions.notNull(configuration, "configuration");
+        mWorkspaces = byName(configuration);
     }
 
     /** Puts a newer version in force; other versions are ignored. */
     public void install(long nowNanos, Configuration configuration) {
         if (configuration.version() > mCurrent.version()) {
-            mPast.add(new Past(mCurrent, nowNanos));
+            mPast.add(new Past(mCurrent, mWorkspaces, nowNanos));
             mCurrent = configuration;
+            mWorkspaces = byName(configuration);
         }
     }
 
@@ -90,7 +99,7 @@
     /** Returns the value of one slot for a workspace. */
     public SlotTerms slotTerms(long nowNanos, WorkspaceName name) {
         forget(nowNanos);
-        Optional<Workspace> workspace = mCurrent.workspace(name);
+        Optional<Workspace> workspace = Optional.ofNullable(mWorkspaces.get(name));
         int total = mCurrent.totalShareSlots();
         if (workspace.isEmpty() || total == 0) {
             return SlotTerms.NONE;
@@ -100,7 +109,7 @@
         double highestRate = workspace.get().ratePerSecond();
         double highestBurst = workspace.get().burst();
         for (Past past : mPast) {
-            Optional<Workspace> earlier = past.configuration.workspace(name);
+            Optional<Workspace> earlier = Optional.ofNullable(past.workspaces.get(name));
             highestRate = Math.max(highestRate, earlier.map(Workspace::ratePerSecond).orElse(0.0));
             highestBurst = Math.max(highestBurst, earlier.map(Workspace::burst).orElse(0.0));
         }
@@ -131,4 +140,10 @@
                 .findFirst()
                 .orElse(0);
     }
+
+    private static Map<WorkspaceName, Workspace> byName(Configuration configuration) {
+        Map<WorkspaceName, Workspace> byName = new HashMap<>();
+        configuration.parts().workspaces().forEach(each -> byName.put(each.name(), each));
+        return byName;
+    }
 }
