--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/PeerMessages.java
@@ -23,11 +23,14 @@
  *
  * <p>Reading throws a {@link org.plantainferry.api.PlantainferryException} when a name or a number
  * in a message is outside its range.
+ *
+ * @since 0.1
  */
-final class PeerMessages {
+public final class PeerMessages {
     private PeerMessages() {}
 
-    static Heartbeat write(HeartbeatView view) {
+    /** Writes a heartbeat. */
+    public static Heartbeat write(HeartbeatView view) {
         LocalStatus status = view.status();
         Heartbeat.Builder builder =
                 Heartbeat.newBuilder()
@@ -73,7 +76,8 @@
                 .build();
     }
 
-    static HeartbeatView read(Heartbeat message) {
+    /** Reads a heartbeat. */
+    public static HeartbeatView read(Heartbeat message) {
         Optional<Long> age =
                 message.getConfirmed()
                         ? Optional.of(message.getConfirmationAgeMillis())
@@ -127,7 +131,9 @@
                 message.getLeaving());
     }
 
-    static org.plantainferry.network.peer.generated.ShareRequest write(ShareRequest request) {
+    /** Writes a share request. */
+    public static org.plantainferry.network.peer.generated.ShareRequest write(
+            ShareRequest request) {
         org.plantainferry.network.peer.generated.ShareRequest.Builder builder =
                 org.plantainferry.network.peer.generated.ShareRequest.newBuilder()
                         .setInstance(request.instance().value())
@@ -148,7 +154,8 @@
         return builder.build();
     }
 
-    static ShareRequest read(org.plantainferry.network.peer.generated.ShareRequest message) {
+    /** Reads a share request. */
+    public static ShareRequest read(org.plantainferry.network.peer.generated.ShareRequest message) {
         return new ShareRequest(
                 new InstanceId(message.getInstance()),
                 message.getConfigurationVersion(),
@@ -168,7 +175,8 @@
                 message.getWaiting());
     }
 
-    static org.plantainferry.network.peer.generated.ShareAnswer write(ShareAnswer answer) {
+    /** Writes the answer to a share request. */
+    public static org.plantainferry.network.peer.generated.ShareAnswer write(ShareAnswer answer) {
         org.plantainferry.network.peer.generated.ShareAnswer.Builder builder =
                 org.plantainferry.network.peer.generated.ShareAnswer.newBuilder()
                         .setConfigurationVersion(answer.configurationVersion())
@@ -188,7 +196,8 @@
         return builder.build();
     }
 
-    static ShareAnswer read(org.plantainferry.network.peer.generated.ShareAnswer message) {
+    /** Reads the answer to a share request. */
+    public static ShareAnswer read(org.plantainferry.network.peer.generated.ShareAnswer message) {
         return new ShareAnswer(
                 message.getConfigurationVersion(),
                 message.getSequence(),
