--- a/plantainferry-network/src/main/java/org/plantainferry/network/target/ServerRole.java
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/ServerRole.java
@@ -1,9 +1,7 @@
-package org.plantainferry.network.target;
+package org.plantainferry.api;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
-import org.plantainferry.api.ErrorCode;
-import org.plantainferry.api.PlantainferryException;
 
 /**
  * Lists the roles of a server in its group.
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/GuardianController.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.ServiceName;
 import org.plantainferry.api.configuration.Service;
 import org.plantainferry.api.configuration.TargetServer;
@@ -23,7 +24,6 @@
 import org.plantainferry.engine.replacement.GuardianAction;
 import org.plantainferry.engine.replacement.ProbeOpinion;
 import org.plantainferry.engine.replacement.PromoteAnswer;
-import org.plantainferry.engine.replacement.ServerRole;
 import org.plantainferry.engine.replacement.ServerState;
 import org.plantainferry.engine.routing.ServerObservation;
 import org.plantainferry.network.peer.PeerTransport;
@@ -175,7 +175,7 @@
             watched.mGuardian.onProbeFailure(server, now);
             return;
         }
-        ServerRole role = ServerRole.valueOf(state.role().name());
+        ServerRole role = state.role();
         ServerState seen =
                 new ServerState(
                         server,
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServerStates.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServerStates.java
@@ -1,7 +1,6 @@
 package org.plantainferry.daemon.traffic;
 
 import org.plantainferry.engine.routing.ServerObservation;
-import org.plantainferry.engine.routing.ServerRole;
 import org.plantainferry.network.target.ServerState;
 
 /**
@@ -16,7 +15,7 @@
     public static ServerObservation observation(ServerState state) {
         return new ServerObservation(
                 state.server(),
-                ServerRole.valueOf(state.role().name()),
+                state.role(),
                 state.term(),
                 state.position(),
                 state.lagMillis().orElse(0L),
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -15,7 +15,6 @@
 import org.plantainferry.api.Verdict;
 import org.plantainferry.engine.admission.ConcurrencyLimit;
 import org.plantainferry.engine.retry.FailureCause;
-import org.plantainferry.engine.routing.ServerRole;
 import org.plantainferry.network.target.RefusalReason;
 import org.plantainferry.network.target.StatementAnswer;
 import org.plantainferry.network.target.StatementResult;
@@ -236,7 +235,7 @@
         mLane.view()
                 .observeAnswer(
                         server,
-                        ServerRole.valueOf(result.role().name()),
+                        result.role(),
                         result.term(),
                         result.position(),
                         result.lagMillis().orElse(0L),
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupView.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/GroupView.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /** Keeps what a guardian knows of a group, and judges whether its primary must be replaced. */
 final class GroupView {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/ServerState.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/replacement/ServerState.java
@@ -2,6 +2,7 @@
 
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /**
  * Holds the part of a server's state that decides on its replacement.
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/GroupView.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.configuration.Service;
 import org.plantainferry.api.configuration.TargetServer;
 import org.plantainferry.api.session.LogPosition;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerEstimate.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerEstimate.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /** Holds what one instance knows about one server. */
 final class ServerEstimate {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerObservation.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/routing/ServerObservation.java
@@ -2,6 +2,7 @@
 
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /**
  * Describes the state of a server as one of its answers shows it.
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/GroupSimulation.java
@@ -12,6 +12,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /** Runs guardians that also write, and a model of a group, on a scripted network. */
 final class GroupSimulation {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/ServerModel.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/replacement/ServerModel.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.session.LogPosition;
 
 /** Models one server of a group as section 13.2 of the design page describes it. */
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/GroupViewTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/GroupViewTest.java
@@ -9,6 +9,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.session.LogPosition;
 import org.testng.annotations.Test;
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/Groups.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/Groups.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.ServiceName;
 import org.plantainferry.api.configuration.Service;
 import org.plantainferry.api.configuration.TargetServer;
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/ReadRouterTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/routing/ReadRouterTest.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.session.LogPosition;
 import org.testng.annotations.Test;
 
--- a/plantainferry-network/src/main/java/org/plantainferry/network/target/ServerState.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/target/ServerState.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 
 /**
  * Holds the state of a server as it reports it.
--- a/plantainferry-network/src/main/java/org/plantainferry/network/target/StatementResult.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/target/StatementResult.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.NullNode;
 import java.util.Optional;
 import org.plantainferry.api.Preconditions;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.session.LogPosition;
 
 /**
--- a/plantainferry-network/src/test/java/org/plantainferry/network/target/TargetProtocolTest.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/target/TargetProtocolTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.StatementKind;
 import org.plantainferry.api.Verdict;
 import org.testng.Reporter;
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/FakeTargets.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/FakeTargets.java
@@ -28,11 +28,11 @@
 import java.util.concurrent.atomic.LongAdder;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.ServerId;
+import org.plantainferry.api.ServerRole;
 import org.plantainferry.api.ServiceName;
 import org.plantainferry.api.configuration.Service;
 import org.plantainferry.api.configuration.TargetServer;
 import org.plantainferry.api.json.Json;
-import org.plantainferry.network.target.ServerRole;
 import org.plantainferry.network.target.ServerState;
 
 /**
