Call the membership table's own answers and drop unused parts of control

FleetState asked again what MembershipTable.failureDomains and isAloneInDomain answer; it now calls them. An instance that left the platform's list but is still heard counts as present there, as in the engine's tests. ControlContext had two components and an interface that nothing used, LimitController a method that nothing called, and StatementSender built one refusal in two places.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/InstanceDaemon.java
@@ -202,14 +202,7 @@
 
     private ControlContext context(DaemonSettings settings, LongSupplier clock) {
         return new ControlContext(
-                settings,
-                System.currentTimeMillis(),
-                mLoop,
-                clock,
-                newRandom(),
-                mStore,
-                mTargets,
-                mGroup);
+                settings, System.currentTimeMillis(), mLoop, clock, newRandom(), mStore);
     }
 
     private static UniformRandomProvider newRandom() {
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlContext.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/ControlContext.java
@@ -1,12 +1,9 @@
 package org.plantainferry.daemon.control;
 
-import io.netty.channel.EventLoopGroup;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.plantainferry.daemon.settings.DaemonSettings;
-import org.plantainferry.network.peer.PeerTransport;
 import org.plantainferry.network.store.PlatformStore;
-import org.plantainferry.network.target.TargetConnector;
 
 /**
  * Holds what all parts of control need.
@@ -17,8 +14,6 @@
  * @param clock the monotonic time in nanoseconds
  * @param random the random source of the control thread
  * @param store the platform's store
- * @param targets opens connections to target servers
- * @param group the event loops of the network
  * @since 0.1
  */
 public record ControlContext(
@@ -27,15 +22,8 @@
         ControlLoop loop,
         LongSupplier clock,
         UniformRandomProvider random,
-        PlatformStore store,
-        TargetConnector targets,
-        EventLoopGroup group) {
+        PlatformStore store) {
     long now() {
         return clock.getAsLong();
     }
-
-    /** Sends messages to peers; set once the listener is open. */
-    interface PeerSource {
-        PeerTransport peers();
-    }
 }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/FleetState.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/FleetState.java
@@ -1,9 +1,6 @@
 package org.plantainferry.daemon.control;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.configuration.Configuration;
 import org.plantainferry.engine.configuration.ConfigurationFreshness;
 import org.plantainferry.engine.configuration.ConfigurationState;
@@ -71,9 +68,7 @@
         mListedNanos = nowNanos;
         mListKnown = true;
         mMembership.onPlatformList(members, nowNanos);
-        Set<FailureDomain> domains = new HashSet<>(mMembership.failureDomains());
-        domains.add(mSelf.failureDomain());
-        mFreshness.onInstances(domains, isAloneInDomain());
+        mFreshness.onInstances(mMembership.failureDomains(), mMembership.isAloneInDomain());
     }
 
     List<Member> listed() {
@@ -83,12 +78,4 @@
     boolean isListKnown(long nowNanos, long maximumAgeNanos) {
         return mListKnown && nowNanos - mListedNanos <= maximumAgeNanos;
     }
-
-    private boolean isAloneInDomain() {
-        return mListed.stream()
-                .noneMatch(
-                        each ->
-                                each.failureDomain().equals(mSelf.failureDomain())
-                                        && !each.id().equals(mSelf.id()));
-    }
 }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/control/LimitController.java
@@ -255,8 +255,4 @@
     void onRecall(InstanceId allocator) {
         mHolder.recalled(mContext.now(), allocator);
     }
-
-    int usableSlots() {
-        return mUsableSlots;
-    }
 }
--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/StatementSender.java
@@ -92,13 +92,7 @@
                             ErrorCode.DEADLINE_EXCEEDED, "the deadline passed in the queue"));
         }
         if (request.request().operation() == Operation.BEGIN && !server.pool().canPin()) {
-            return Optional.of(
-                    new PlantainferryException(
-                            ErrorCode.OVERLOADED,
-                            "too many open transactions on this instance",
-                            Verdict.NOT_RUN,
-                            PIN_RETRY_MILLIS,
-                            null));
+            return Optional.of(tooManyTransactions());
         }
         try {
             mLane.authority().verifyStillValid(request.request());
@@ -108,6 +102,15 @@
         }
     }
 
+    private static PlantainferryException tooManyTransactions() {
+        return new PlantainferryException(
+                ErrorCode.OVERLOADED,
+                "too many open transactions on this instance",
+                Verdict.NOT_RUN,
+                PIN_RETRY_MILLIS,
+                null);
+    }
+
     private TargetRequest targetRequest(PendingRequest request) {
         long term = mLane.view().term();
         if (request.request().operation() == Operation.BEGIN) {
@@ -319,10 +322,7 @@
             StatementResult result) {
         if (request.isAnswered() || !server.pool().canPin()) {
             server.discard(connection);
-            request.fail(
-                    ErrorCode.OVERLOADED,
-                    "too many open transactions on this instance",
-                    PIN_RETRY_MILLIS);
+            request.fail(tooManyTransactions());
             return;
         }
         server.pool().pin(connection);
