Share rates by reported demand, plan connections by replica and replace primaries

Cause: with even shares, 0.5 to 2 percent of the operations inside the limits were refused, and 357 connections were reset because each instance opened up to 1.6 times its part. New connections stay at 2785; nine workspaces on each instance compete for two connections to a primary.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadCandidate.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadCandidate.java
@@ -5,6 +5,10 @@
 /**
  * Joins a server with what this instance knows of it.
  *
+ * @param primary whether it leads its group
+ * @param home whether it is the replica to which this instance sends its reads
+ * @param waiting requests of this instance that wait for a connection to it
  * @since 0.2
  */
-public record ReadCandidate(CatalogServer server, ServerHealth health) {}
+public record ReadCandidate(
+        CatalogServer server, ServerHealth health, boolean primary, boolean home, int waiting) {}
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -17,6 +17,8 @@
 public final class ReadPlacement {
     private static final double REMOTE_COST_MILLIS = 6;
     private static final double PRIMARY_COST_MILLIS = 12;
+    private static final double FOREIGN_COST_MILLIS = 20;
+    private static final double WAITING_WEIGHT = 2;
     private static final double BEHIND_COST_MILLIS = 1_000;
     private static final double AVOIDED_COST_MILLIS = 10_000;
     private static final double DRAINING_COST_MILLIS = 100_000;
@@ -58,14 +60,16 @@
     private double cost(ReadCandidate candidate, Optional<LogPosition> required, long nowNanos) {
         ServerHealth health = candidate.health();
         int slots = Math.max(1, candidate.server().slots());
-        double cost = health.latencyMillis() * (1 + (double) health.inFlight() / slots);
+        double ahead = health.inFlight() + WAITING_WEIGHT * candidate.waiting();
+        double cost = health.latencyMillis() * (1 + ahead / slots);
         cost += mFailureDomain.equals(candidate.server().failureDomain()) ? 0 : REMOTE_COST_MILLIS;
-        cost += candidate.server().primary() ? PRIMARY_COST_MILLIS : 0;
+        cost += candidate.primary() ? PRIMARY_COST_MILLIS : 0;
+        cost += candidate.home() || candidate.primary() ? 0 : FOREIGN_COST_MILLIS;
         cost += candidate.server().draining() ? DRAINING_COST_MILLIS : 0;
         cost += health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0;
         boolean isBehind =
                 required.isPresent()
-                        && !candidate.server().primary()
+                        && !candidate.primary()
                         && health.isKnownBehind(required.get(), nowNanos, POSITION_NEWS_NANOS);
         return cost + (isBehind ? BEHIND_COST_MILLIS : 0);
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -12,12 +12,14 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.SuspensionAwareClock;
 import org.plantainferry.gateway.control.ControlPlane;
+import org.plantainferry.gateway.control.FleetController;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PlatformAdapter;
 import org.plantainferry.gateway.spi.PlatformConnection;
 import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.SessionCounts;
 import org.plantainferry.gateway.traffic.TrafficCounters;
 import org.plantainferry.gateway.traffic.TrafficServer;
@@ -37,6 +39,7 @@
     private final GatewaySettings mSettings;
     private final ControlPlane mControl;
     private final TrafficServer mTraffic;
+    private final FleetController mFleet;
     private final OperatorEndpoint mOperators;
     private volatile boolean mLeaving;
     private volatile boolean mOpen;
@@ -57,7 +60,11 @@
                         platform.wireFormat(),
                         mControl::view,
                         clock,
+                        this::suspicion,
                         new TrafficCounters(registry));
+        mFleet =
+                new FleetController(
+                        controlGroup.next(), settings, platform, mTraffic, mControl::view, clock);
         mOperators =
                 new OperatorEndpoint(settings.operatorListener(), this::isReady, registry::scrape);
     }
@@ -69,6 +76,11 @@
 
     private void onView(FleetView view, Map<String, InstanceEntry> others) {
         mTraffic.onView(view);
+        mFleet.onView(view, others);
+    }
+
+    private PrimarySuspicion suspicion() {
+        return mFleet.suspicion();
     }
 
     private boolean isReady() {
@@ -78,6 +90,7 @@
     /** Starts control, and opens the callers' listener when a configuration is known. */
     public void start() throws InterruptedException {
         mControl.start();
+        mFleet.start();
         mOperators.start();
         while (!mControl.isReady()) {
             TimeUnit.MILLISECONDS.sleep(OPEN_POLL_MILLIS);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
@@ -75,7 +74,7 @@
         mClock = clock;
         mListener = listener;
         mConfirmedNanos = clock.getAsLong() - TimeUnit.HOURS.toNanos(1);
-        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, Set.of());
+        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, Map.of());
     }
 
     /** Begins to follow the store; may be called from any thread. */
@@ -142,7 +141,9 @@
     private void publish() {
         Map<String, InstanceEntry> others = new HashMap<>(mInstances);
         others.remove(mSettings.instance());
-        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, others.keySet());
+        Map<String, String> domains = new HashMap<>();
+        others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
+        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, domains);
         mReady = mConfiguration.version() > 0 && mCatalogRead;
         mListener.onView(mView, others);
     }
@@ -154,9 +155,7 @@
         }
         mConfirmedNanos = sentNanos;
         FleetView view = mView;
-        mView =
-                new FleetView(
-                        view.configuration(), view.catalog(), sentNanos, view.otherInstances());
+        mView = new FleetView(view.configuration(), view.catalog(), sentNanos, view.otherDomains());
     }
 
     private void onServersChanged() {
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -0,0 +1,110 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.spi.InstanceEntry;
+import org.plantainferry.gateway.spi.PlatformConnection;
+import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.PrimarySuspicion;
+import org.plantainferry.gateway.traffic.ServerProbe;
+import org.plantainferry.gateway.traffic.TrafficServer;
+
+/**
+ * Joins the parts of control that work together with other instances.
+ *
+ * <p>Used by the control thread only, except {@link #start} and {@link #suspicion}.
+ *
+ * @since 0.2
+ */
+public final class FleetController {
+    private final EventLoop mLoop;
+    private final Supplier<FleetView> mView;
+    private final DemandExchange mDemand;
+    private final ReachabilityPoll mPoll;
+    private final PrimaryKeeper mKeeper;
+
+    /**
+     * Opens the port for messages of other instances.
+     *
+     * @param loop the control thread
+     * @param clock time that includes suspensions of the machine, in nanoseconds
+     */
+    public FleetController(
+            EventLoop loop,
+            GatewaySettings settings,
+            PlatformConnection platform,
+            TrafficServer traffic,
+            Supplier<FleetView> view,
+            LongSupplier clock) {
+        mLoop = loop;
+        mView = view;
+        PeerChannel peers =
+                new PeerChannel(
+                        loop, settings.localAddress(), settings.peerPort(), this::onMessage);
+        ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
+        mDemand = new DemandExchange(loop, settings.instance(), traffic, peers, clock);
+        mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
+        ReplacementTools tools =
+                new ReplacementTools(
+                        settings.instance(),
+                        platform.claims(),
+                        platform.promotions(),
+                        probe,
+                        clock,
+                        view);
+        mKeeper =
+                new PrimaryKeeper(
+                        loop,
+                        settings.instance(),
+                        clock,
+                        probe,
+                        mPoll,
+                        (service, cause, ended) ->
+                                new PrimaryReplacement(loop, tools, view, service, cause, ended));
+    }
+
+    /** Begins the periodic work. */
+    public void start() {
+        mLoop.execute(mDemand::start);
+    }
+
+    /** Returns where traffic reports primaries that do not answer. */
+    public PrimarySuspicion suspicion() {
+        return mKeeper;
+    }
+
+    /** Follows a new view. */
+    public void onView(FleetView view, Map<String, InstanceEntry> others) {
+        mDemand.onOthers(others);
+        mPoll.onOthers(others);
+        mKeeper.onView(view);
+    }
+
+    private void onMessage(InstanceMessage message, InetSocketAddress sender) {
+        switch (message.getContentCase()) {
+            case DEMAND_REPORT ->
+                    mDemand.onReport(message.getInstance(), message.getDemandReport());
+            case REACHABILITY_ANSWER -> mPoll.onAnswer(message.getReachabilityAnswer());
+            case REACHABILITY_QUESTION ->
+                    mView.get()
+                            .catalog()
+                            .server(message.getReachabilityQuestion().getServer())
+                            .ifPresent(
+                                    server ->
+                                            mPoll.onQuestion(
+                                                    message.getReachabilityQuestion(),
+                                                    server,
+                                                    sender));
+            default -> {
+                // A content of a later version; the sender does without an answer.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -0,0 +1,174 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.catalog.ServerCatalog;
+import org.plantainferry.engine.promotion.SuspicionVote;
+import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.statement.Statement;
+import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.PrimarySuspicion;
+import org.plantainferry.gateway.traffic.ProbeAnswer;
+import org.plantainferry.gateway.traffic.ServerProbe;
+
+/**
+ * Watches the primary of each group and starts its replacement.
+ *
+ * <p>A primary is replaced when it leaves, when no server claims the role, or when neither this nor
+ * another instance reaches it. The instances act one after the other, in an order that differs from
+ * group to group. Used by the control thread only, except {@link #onSuspected}.
+ */
+final class PrimaryKeeper implements PrimarySuspicion {
+    private static final long MISSING_MILLIS = 250;
+    private static final long LEAVING_MILLIS = 150;
+    private static final long RANK_MILLIS = 400;
+    private static final int LAST_RANK = 4;
+    private static final long PROBE_MILLIS = 350;
+    private static final long CALM_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    private static final long AGAIN_MILLIS = 300;
+
+    private final EventLoop mLoop;
+    private final String mInstance;
+    private final LongSupplier mClock;
+    private final ServerProbe mProbe;
+    private final ReachabilityPoll mPoll;
+    private final ReplacementFactory mFactory;
+    private final Set<String> mWatched = new HashSet<>();
+    private final Set<String> mSuspected = new HashSet<>();
+    private final Map<String, Long> mCalmUntil = new HashMap<>();
+    private final Map<String, PrimaryReplacement> mRunning = new HashMap<>();
+    private ServerCatalog mCatalog = ServerCatalog.EMPTY;
+    private Set<String> mOthers = Set.of();
+
+    /** Creates the replacement of one primary. */
+    interface ReplacementFactory {
+        PrimaryReplacement create(String service, ReplacementCause cause, Runnable ended);
+    }
+
+    PrimaryKeeper(
+            EventLoop loop,
+            String instance,
+            LongSupplier clock,
+            ServerProbe probe,
+            ReachabilityPoll poll,
+            ReplacementFactory factory) {
+        mLoop = loop;
+        mInstance = instance;
+        mClock = clock;
+        mProbe = probe;
+        mPoll = poll;
+        mFactory = factory;
+    }
+
+    void onView(FleetView view) {
+        mCatalog = view.catalog();
+        mOthers = view.otherInstances();
+        for (String service : mCatalog.services()) {
+            watch(service);
+        }
+    }
+
+    private Optional<ReplacementCause> visibleCause(String service) {
+        Optional<CatalogServer> primary = mCatalog.primary(service);
+        if (primary.isEmpty()) {
+            return Optional.of(ReplacementCause.MISSING);
+        }
+        return primary.get().draining() ? Optional.of(ReplacementCause.LEAVING) : Optional.empty();
+    }
+
+    /** Starts a replacement after a delay, if its cause still stands then. */
+    private void watch(String service) {
+        Optional<ReplacementCause> cause = visibleCause(service);
+        if (cause.isEmpty() || mRunning.containsKey(service) || !mWatched.add(service)) {
+            return;
+        }
+        boolean isMissing = cause.get() == ReplacementCause.MISSING;
+        long delay = (isMissing ? MISSING_MILLIS : LEAVING_MILLIS) + rank(service) * RANK_MILLIS;
+        mLoop.schedule(() -> endWatch(service), delay, TimeUnit.MILLISECONDS);
+    }
+
+    private void endWatch(String service) {
+        mWatched.remove(service);
+        visibleCause(service).ifPresent(cause -> replace(service, cause));
+    }
+
+    /** Returns the place of this instance in the order for a group; 0 acts first. */
+    private int rank(String service) {
+        int own = place(mInstance, service);
+        int before = 0;
+        for (String other : mOthers) {
+            int place = place(other, service);
+            boolean isBefore = place < own || (place == own && other.compareTo(mInstance) < 0);
+            before += isBefore ? 1 : 0;
+        }
+        return Math.min(LAST_RANK, before);
+    }
+
+    private static int place(String instance, String service) {
+        // Mixes the bits, because hash codes of similar names are close to each other.
+        int hash = (instance + "/" + service).hashCode() * 0x9E3779B1;
+        return hash ^ (hash >>> 15);
+    }
+
+    private void replace(String service, ReplacementCause cause) {
+        if (mRunning.containsKey(service)) {
+            return;
+        }
+        PrimaryReplacement replacement = mFactory.create(service, cause, () -> onEnded(service));
+        mRunning.put(service, replacement);
+        replacement.start();
+    }
+
+    private void onEnded(String service) {
+        mRunning.remove(service);
+        mCalmUntil.put(service, mClock.getAsLong() + CALM_NANOS);
+        mLoop.schedule(() -> watch(service), AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onSuspected(String service, String server) {
+        mLoop.execute(() -> checkSuspicion(service, server));
+    }
+
+    private void checkSuspicion(String service, String server) {
+        Optional<CatalogServer> primary = mCatalog.primary(service);
+        boolean isPrimary = primary.isPresent() && primary.get().id().equals(server);
+        boolean isCalm = mClock.getAsLong() - mCalmUntil.getOrDefault(service, Long.MIN_VALUE) < 0;
+        if (!isPrimary || isCalm || mRunning.containsKey(service) || !mSuspected.add(service)) {
+            return;
+        }
+        mProbe.send(primary.get(), new Statement.Status(), PROBE_MILLIS)
+                .thenAccept(answer -> mLoop.execute(() -> onProbed(service, server, answer)));
+    }
+
+    private void onProbed(String service, String server, ProbeAnswer answer) {
+        if (answer.alive()) {
+            endSuspicion(service);
+            return;
+        }
+        GatewayEvent.PRIMARY_SUSPECTED.log(service, server, "no answer to a probe");
+        mPoll.ask(server, verdict -> onVerdict(service, server, verdict));
+    }
+
+    private void onVerdict(String service, String server, SuspicionVote.Verdict verdict) {
+        GatewayEvent.PRIMARY_SUSPECTED.log(service, server, "verdict " + verdict);
+        boolean isPrimary =
+                mCatalog.primary(service).filter(each -> each.id().equals(server)).isPresent();
+        if (verdict == SuspicionVote.Verdict.REPLACE && isPrimary) {
+            replace(service, ReplacementCause.UNREACHABLE);
+        }
+        endSuspicion(service);
+    }
+
+    private void endSuspicion(String service) {
+        mSuspected.remove(service);
+        mCalmUntil.put(service, mClock.getAsLong() + CALM_NANOS);
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -0,0 +1,319 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.promotion.CandidateChoice;
+import org.plantainferry.engine.promotion.ReplicaState;
+import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.PromotionResult;
+import org.plantainferry.gateway.spi.StoredClaim;
+import org.plantainferry.gateway.statement.ServerStatus;
+import org.plantainferry.gateway.statement.Statement;
+import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.ProbeAnswer;
+import org.plantainferry.network.http.Futures;
+
+/**
+ * Replaces the primary of one group, step by step.
+ *
+ * <p>The steps are: claim the group in the store, which gives a fencing token of its own; make a
+ * leaving primary step down; ask the replicas how far they have received; order the one that has
+ * most to lead; wait until it says that it leads. Each order keeps its candidate and its token, so
+ * that an order whose answer was lost does no harm when it is carried out late. Used by the control
+ * thread only.
+ */
+final class PrimaryReplacement {
+    private static final long FOREIGN_CLAIM_MILLIS = 2_500;
+    private static final long FOREIGN_POLL_MILLIS = 250;
+    private static final long STATUS_MILLIS = 350;
+    private static final long CATCH_UP_MILLIS = 700;
+    private static final long CATCH_UP_POLL_MILLIS = 60;
+    private static final long ORDER_REPEAT_MILLIS = 120;
+    private static final long ORDERS_END_MILLIS = 6_000;
+    private static final long LEADING_MILLIS = 3_000;
+    private static final long LEADING_POLL_MILLIS = 50;
+
+    private final EventLoop mLoop;
+    private final ReplacementTools mTools;
+    private final String mService;
+    private final ReplacementCause mCause;
+    private final Runnable mEnded;
+    private final Supplier<FleetView> mView;
+    private final String mOldPrimary;
+    private final long mStartedNanos;
+    private Optional<Long> mForeignVersion = Optional.empty();
+    private long mForeignSinceNanos;
+    private PromotionClaim mClaim;
+    private Optional<LogPosition> mLeft = Optional.empty();
+    private long mCatchUpUntil;
+
+    PrimaryReplacement(
+            EventLoop loop,
+            ReplacementTools tools,
+            Supplier<FleetView> view,
+            String service,
+            ReplacementCause cause,
+            Runnable ended) {
+        mLoop = loop;
+        mTools = tools;
+        mView = view;
+        mService = service;
+        mCause = cause;
+        mEnded = ended;
+        mOldPrimary = view.get().catalog().primary(service).map(CatalogServer::id).orElse("");
+        mStartedNanos = tools.clock().getAsLong();
+    }
+
+    void start() {
+        claim();
+    }
+
+    private long now() {
+        return mTools.clock().getAsLong();
+    }
+
+    private void later(long millis, Runnable action) {
+        mLoop.schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(now() - mStartedNanos);
+    }
+
+    private void end(String outcome) {
+        GatewayEvent.PROMOTION_ENDED.log(mService, outcome, elapsedMillis());
+        mEnded.run();
+    }
+
+    /** Returns whether the group has another primary than at the start, which does not leave. */
+    private boolean isReplaced() {
+        return mView.get()
+                .catalog()
+                .primary(mService)
+                .filter(primary -> !primary.draining())
+                .filter(primary -> !primary.id().equals(mOldPrimary))
+                .isPresent();
+    }
+
+    private void claim() {
+        if (isReplaced()) {
+            end("replaced by another instance");
+            return;
+        }
+        mTools.claims()
+                .read(mService)
+                .whenComplete(
+                        (stored, failure) ->
+                                mLoop.execute(
+                                        () -> {
+                                            if (failure != null) {
+                                                end("store: " + reason(failure));
+                                            } else {
+                                                onClaimRead(stored);
+                                            }
+                                        }));
+    }
+
+    private static String reason(Throwable failure) {
+        return Futures.cause(failure).getMessage();
+    }
+
+    private void onClaimRead(Optional<StoredClaim> stored) {
+        boolean isForeign =
+                stored.isPresent()
+                        && stored.get().claim().open()
+                        && !stored.get().claim().holder().equals(mTools.holder());
+        if (isForeign && !isForeignClaimOld(stored.get().version())) {
+            later(FOREIGN_POLL_MILLIS, this::claim);
+            return;
+        }
+        long token = stored.map(each -> each.claim().fencingToken()).orElse(0L) + 1;
+        mClaim = new PromotionClaim(mTools.holder(), token, true);
+        mTools.claims()
+                .write(mService, stored.map(each -> each.version()), mClaim)
+                .whenComplete(
+                        (written, failure) -> mLoop.execute(() -> onClaimed(written, failure)));
+    }
+
+    /** An open claim that does not change for a while belongs to an instance that is gone. */
+    private boolean isForeignClaimOld(long version) {
+        if (!mForeignVersion.equals(Optional.of(version))) {
+            mForeignVersion = Optional.of(version);
+            mForeignSinceNanos = now();
+        }
+        long seen = TimeUnit.NANOSECONDS.toMillis(now() - mForeignSinceNanos);
+        return seen >= FOREIGN_CLAIM_MILLIS;
+    }
+
+    private void onClaimed(Boolean written, Throwable failure) {
+        if (failure != null) {
+            // The claim may have been written; a new one gets a higher token.
+            end("store: " + reason(failure));
+            return;
+        }
+        if (!written) {
+            later(FOREIGN_POLL_MILLIS, this::claim);
+            return;
+        }
+        if (mCause == ReplacementCause.LEAVING) {
+            stepDown();
+            return;
+        }
+        askReplicas();
+    }
+
+    /** Stops commits at a leaving primary, so that the replicas can receive all of them. */
+    private void stepDown() {
+        Optional<CatalogServer> primary = mView.get().catalog().server(mOldPrimary);
+        if (primary.isEmpty()) {
+            askReplicas();
+            return;
+        }
+        mTools.probe()
+                .send(primary.get(), new Statement.Status(), STATUS_MILLIS)
+                .thenAccept(answer -> mLoop.execute(() -> onLeavingStatus(primary.get(), answer)));
+    }
+
+    private void onLeavingStatus(CatalogServer primary, ProbeAnswer answer) {
+        if (answer.status().isEmpty()) {
+            askReplicas();
+            return;
+        }
+        long term = answer.status().get().term() + 1;
+        mTools.probe()
+                .send(primary, new Statement.StepDown(term), STATUS_MILLIS)
+                .thenAccept(
+                        stepped ->
+                                mLoop.execute(
+                                        () -> {
+                                            mLeft = stepped.status().map(ServerStatus::received);
+                                            mCatchUpUntil =
+                                                    now()
+                                                            + TimeUnit.MILLISECONDS.toNanos(
+                                                                    CATCH_UP_MILLIS);
+                                            askReplicas();
+                                        }));
+    }
+
+    private List<CatalogServer> replicas() {
+        return mView.get().catalog().servers(mService).stream()
+                .filter(server -> !server.id().equals(mOldPrimary))
+                .filter(server -> !server.draining())
+                .toList();
+    }
+
+    private void askReplicas() {
+        List<CatalogServer> replicas = replicas();
+        if (replicas.isEmpty()) {
+            close("no replica is known");
+            return;
+        }
+        ReplicaSurvey.run(
+                mLoop,
+                mTools.probe(),
+                replicas,
+                STATUS_MILLIS,
+                states -> onStates(replicas, states));
+    }
+
+    private void onStates(List<CatalogServer> replicas, List<ReplicaState> states) {
+        if (isReplaced()) {
+            close("replaced by another instance");
+            return;
+        }
+        int synchronous = mTools.synchronousReplicas(mService);
+        Optional<ReplicaState> candidate =
+                CandidateChoice.choose(new ArrayList<>(states), replicas.size(), synchronous);
+        if (candidate.isEmpty()) {
+            close("no replica answered");
+            return;
+        }
+        boolean isBehind =
+                mLeft.isPresent() && candidate.get().received().compareTo(mLeft.get()) < 0;
+        if (isBehind && now() - mCatchUpUntil < 0) {
+            later(CATCH_UP_POLL_MILLIS, this::askReplicas);
+            return;
+        }
+        GatewayEvent.PROMOTION_ORDERED.log(
+                mService,
+                candidate.get().server().id(),
+                mClaim.fencingToken(),
+                candidate.get().received());
+        order(candidate.get().server().id());
+    }
+
+    private void order(String server) {
+        mTools.orders()
+                .promote(mService, server, mClaim)
+                .whenComplete(
+                        (result, failure) ->
+                                mLoop.execute(() -> onOrdered(server, result, failure)));
+    }
+
+    private void onOrdered(String server, PromotionResult result, Throwable failure) {
+        if (failure == null && result == PromotionResult.ACCEPTED) {
+            awaitLeading(server, now());
+            return;
+        }
+        if (failure == null && result == PromotionResult.REFUSED) {
+            close("the order was refused");
+            return;
+        }
+        boolean isLeading =
+                mView.get()
+                        .catalog()
+                        .primary(mService)
+                        .filter(p -> p.id().equals(server))
+                        .isPresent();
+        if (isLeading) {
+            close("done");
+        } else if (elapsedMillis() > ORDERS_END_MILLIS) {
+            close("the platform does not take the order");
+        } else {
+            later(ORDER_REPEAT_MILLIS, () -> order(server));
+        }
+    }
+
+    private void awaitLeading(String server, long orderedNanos) {
+        boolean isLeading =
+                mView.get()
+                        .catalog()
+                        .primary(mService)
+                        .filter(p -> p.id().equals(server))
+                        .isPresent();
+        boolean isLate = TimeUnit.NANOSECONDS.toMillis(now() - orderedNanos) > LEADING_MILLIS;
+        if (isLeading || isLate) {
+            close(isLeading ? "done" : "the server does not say that it leads");
+            return;
+        }
+        later(LEADING_POLL_MILLIS, () -> awaitLeading(server, orderedNanos));
+    }
+
+    /** Marks the claim as ended, so that the next replacement need not wait, and ends. */
+    private void close(String outcome) {
+        PromotionClaim ended = new PromotionClaim(mClaim.holder(), mClaim.fencingToken(), false);
+        mTools.claims()
+                .read(mService)
+                .thenCompose(
+                        stored -> {
+                            boolean isOwn =
+                                    stored.isPresent() && stored.get().claim().equals(mClaim);
+                            return isOwn
+                                    ? mTools.claims()
+                                            .write(
+                                                    mService,
+                                                    Optional.of(stored.get().version()),
+                                                    ended)
+                                    : CompletableFuture.completedFuture(false);
+                        })
+                .whenComplete((written, failure) -> mLoop.execute(() -> end(outcome)));
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReachabilityPoll.java
@@ -0,0 +1,124 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.promotion.SuspicionVote;
+import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.peer.generated.ReachabilityAnswer;
+import org.plantainferry.gateway.peer.generated.ReachabilityQuestion;
+import org.plantainferry.gateway.spi.InstanceEntry;
+import org.plantainferry.gateway.statement.Statement;
+import org.plantainferry.gateway.traffic.ServerProbe;
+
+/**
+ * Asks other instances whether a server answers them, and answers their questions.
+ *
+ * <p>Used by the control thread only.
+ */
+final class ReachabilityPoll {
+    private static final int MOST_ASKED = 24;
+    private static final long ANSWER_MILLIS = 550;
+    private static final long PROBE_MILLIS = 400;
+
+    private final EventLoop mLoop;
+    private final String mInstance;
+    private final PeerChannel mPeers;
+    private final ServerProbe mProbe;
+    private final Random mRandom;
+    private final Map<Long, Poll> mPolls = new HashMap<>();
+    private Map<String, InstanceEntry> mOthers = Map.of();
+    private long mNextNumber;
+
+    private static final class Poll {
+        private final SuspicionVote mVote;
+        private final Consumer<SuspicionVote.Verdict> mCallback;
+
+        Poll(SuspicionVote vote, Consumer<SuspicionVote.Verdict> callback) {
+            mVote = vote;
+            mCallback = callback;
+        }
+    }
+
+    ReachabilityPoll(
+            EventLoop loop, String instance, PeerChannel peers, ServerProbe probe, Random random) {
+        mLoop = loop;
+        mInstance = instance;
+        mPeers = peers;
+        mProbe = probe;
+        mRandom = random;
+        mNextNumber = random.nextLong() >>> 1;
+    }
+
+    void onOthers(Map<String, InstanceEntry> others) {
+        mOthers = others;
+    }
+
+    /** Asks the others; the callback runs once, with their verdict. */
+    void ask(String server, Consumer<SuspicionVote.Verdict> callback) {
+        List<InstanceEntry> asked = new ArrayList<>(mOthers.values());
+        Collections.shuffle(asked, mRandom);
+        if (asked.size() > MOST_ASKED) {
+            asked = asked.subList(0, MOST_ASKED);
+        }
+        mNextNumber++;
+        long number = mNextNumber;
+        mPolls.put(number, new Poll(new SuspicionVote(asked.size()), callback));
+        InstanceMessage question =
+                InstanceMessage.newBuilder()
+                        .setInstance(mInstance)
+                        .setReachabilityQuestion(
+                                ReachabilityQuestion.newBuilder()
+                                        .setNumber(number)
+                                        .setServer(server))
+                        .build();
+        asked.forEach(each -> mPeers.send(question, each.peerAddress()));
+        mLoop.schedule(() -> end(number), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void end(long number) {
+        Poll poll = mPolls.remove(number);
+        if (poll != null) {
+            poll.mCallback.accept(poll.mVote.verdict());
+        }
+    }
+
+    void onAnswer(ReachabilityAnswer answer) {
+        Poll poll = mPolls.get(answer.getNumber());
+        if (poll == null) {
+            return;
+        }
+        poll.mVote.onAnswer(answer.getReached());
+        if (poll.mVote.isDecided()) {
+            end(answer.getNumber());
+        }
+    }
+
+    /** Tries the server and answers the question. */
+    void onQuestion(ReachabilityQuestion question, CatalogServer server, InetSocketAddress sender) {
+        mProbe.send(server, new Statement.Status(), PROBE_MILLIS)
+                .thenAccept(answer -> mLoop.execute(() -> reply(question, answer.alive(), sender)));
+    }
+
+    private void reply(ReachabilityQuestion question, boolean reached, InetSocketAddress sender) {
+        mPeers.send(
+                InstanceMessage.newBuilder()
+                        .setInstance(mInstance)
+                        .setReachabilityAnswer(
+                                ReachabilityAnswer.newBuilder()
+                                        .setNumber(question.getNumber())
+                                        .setServer(question.getServer())
+                                        .setReached(reached))
+                        .build(),
+                sender);
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementTools.java
@@ -0,0 +1,27 @@
+package org.plantainferry.gateway.control;
+
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.plantainferry.engine.catalog.GroupSettings;
+import org.plantainferry.gateway.spi.ClaimStore;
+import org.plantainferry.gateway.spi.PromotionOrders;
+import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.ServerProbe;
+
+/**
+ * Holds what the replacement of a primary works with.
+ *
+ * @param holder the name under which this process claims groups
+ */
+record ReplacementTools(
+        String holder,
+        ClaimStore claims,
+        PromotionOrders orders,
+        ServerProbe probe,
+        LongSupplier clock,
+        Supplier<FleetView> view) {
+    int synchronousReplicas(String service) {
+        GroupSettings settings = view.get().configuration().groups().get(service);
+        return settings == null ? 0 : settings.synchronousReplicas();
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaSurvey.java
@@ -0,0 +1,53 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.promotion.ReplicaState;
+import org.plantainferry.gateway.statement.Statement;
+import org.plantainferry.gateway.traffic.ProbeAnswer;
+import org.plantainferry.gateway.traffic.ServerProbe;
+
+/** Asks all replicas of a group for their state at the same time. */
+final class ReplicaSurvey {
+    private final List<ReplicaState> mStates = new ArrayList<>();
+    private final Consumer<List<ReplicaState>> mDone;
+    private int mOpen;
+
+    private ReplicaSurvey(int servers, Consumer<List<ReplicaState>> done) {
+        mOpen = servers;
+        mDone = done;
+    }
+
+    /** Asks the servers; the callback receives the states of those that answered in time. */
+    static void run(
+            EventLoop loop,
+            ServerProbe probe,
+            List<CatalogServer> servers,
+            long timeoutMillis,
+            Consumer<List<ReplicaState>> done) {
+        ReplicaSurvey survey = new ReplicaSurvey(servers.size(), done);
+        for (CatalogServer server : servers) {
+            probe.send(server, new Statement.Status(), timeoutMillis)
+                    .thenAccept(answer -> loop.execute(() -> survey.onAnswer(server, answer)));
+        }
+    }
+
+    private void onAnswer(CatalogServer server, ProbeAnswer answer) {
+        mOpen--;
+        answer.status()
+                .ifPresent(
+                        status ->
+                                mStates.add(
+                                        new ReplicaState(
+                                                server,
+                                                status.primary(),
+                                                status.term(),
+                                                status.received())));
+        if (mOpen == 0) {
+            mDone.accept(mStates);
+        }
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ServerList.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ServerList.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.catalog.PrimaryBeliefs;
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.FeedEntry;
@@ -23,6 +24,7 @@
     private static final long RETURN_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
     private final Map<String, CatalogServer> mServers = new HashMap<>();
+    private final PrimaryBeliefs mPrimaries = new PrimaryBeliefs();
     private final Map<String, Long> mGoneAt = new HashMap<>();
     private long mGraceUntilNanos;
     private boolean mGrace;
@@ -62,6 +64,7 @@
             return remove(entry.name(), nowNanos);
         }
         mGoneAt.remove(entry.name());
+        mPrimaries.onEntry(server.get(), entry.revision());
         CatalogServer before = mServers.put(entry.name(), server.get());
         if (server.get().equals(before)) {
             return false;
@@ -84,7 +87,7 @@
             return false;
         }
         GatewayEvent.SERVER_CHANGED.log(id, mServers.get(id).service(), "gone");
-        mServers.remove(id);
+        mPrimaries.onRemoved(mServers.remove(id));
         mGoneAt.remove(id);
         return true;
     }
@@ -107,6 +110,6 @@
 
     /** Returns the servers as they are now. */
     ServerCatalog catalog() {
-        return new ServerCatalog(mServers.values());
+        return new ServerCatalog(mServers.values(), mPrimaries.primaries());
     }
 }
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerChannel.java
@@ -0,0 +1,87 @@
+package org.plantainferry.gateway.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.network.http.SocketAddresses;
+
+/**
+ * Sends and receives datagrams of other instances; a lost one is not repeated.
+ *
+ * @since 0.2
+ */
+public final class PeerChannel {
+    private final Channel mChannel;
+
+    /**
+     * Opens the port.
+     *
+     * @param listener receives each message with the address of its sender, on the loop
+     */
+    public PeerChannel(
+            EventLoop loop,
+            String localAddress,
+            int port,
+            BiConsumer<InstanceMessage, InetSocketAddress> listener) {
+        mChannel =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver(listener))
+                        .bind(SocketAddresses.parse(localAddress + ":" + port))
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** Sends a message; an unreachable receiver is not noticed. */
+    public void send(InstanceMessage message, InetSocketAddress receiver) {
+        mChannel.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(message.toByteArray()), receiver),
+                mChannel.voidPromise());
+    }
+
+    /** Sends a message to an address of the form IP:PORT. */
+    public void send(InstanceMessage message, String receiver) {
+        try {
+            send(message, SocketAddresses.parse(receiver));
+        } catch (PlantainferryException e) {
+            GatewayEvent.UNEXPECTED.log("peer address", e.getMessage());
+        }
+    }
+
+    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final BiConsumer<InstanceMessage, InetSocketAddress> mListener;
+
+        Receiver(BiConsumer<InstanceMessage, InetSocketAddress> listener) {
+            mListener = listener;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                byte[] bytes = ByteBufUtil.getBytes(packet.content());
+                mListener.accept(InstanceMessage.parseFrom(bytes), packet.sender());
+            } catch (InvalidProtocolBufferException e) {
+                GatewayEvent.UNEXPECTED.log("peer message", e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A datagram to a port without a listener may end as an error of the next one.
+            GatewayEvent.UNEXPECTED.log("peer channel", cause);
+        }
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
@@ -5,8 +5,7 @@
  *
  * @param holder the instance
  * @param fencingToken increases with each new claim
- * @param server the server that the holder orders to lead; empty while it is not chosen
  * @param open whether the holder is still at work
  * @since 0.2
  */
-public record PromotionClaim(String holder, long fencingToken, String server, boolean open) {}
+public record PromotionClaim(String holder, long fencingToken, boolean open) {}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionOrders.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionOrders.java
@@ -9,9 +9,9 @@
  */
 public interface PromotionOrders {
     /**
-     * Promotes the server that the claim names; returns at once.
+     * Promotes a server under a claim; returns at once.
      *
      * <p>The future fails when no answer came; the order may then still be carried out later.
      */
-    CompletableFuture<PromotionResult> promote(String service, PromotionClaim claim);
+    CompletableFuture<PromotionResult> promote(String service, String server, PromotionClaim claim);
 }
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerProbe.java
@@ -0,0 +1,101 @@
+package org.plantainferry.gateway.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.gateway.spi.WireFormat;
+import org.plantainferry.gateway.statement.FailureCode;
+import org.plantainferry.gateway.statement.Statement;
+
+/**
+ * Sends statements of the system itself to a server, on a connection of its own.
+ *
+ * @since 0.2
+ */
+public final class ServerProbe {
+    /** The workspace that servers are told for connections of the system itself. */
+    private static final String NO_WORKSPACE = "-";
+
+    private static final int MOST_REPEATS = 4;
+    private static final long REPEAT_MILLIS = 25;
+
+    private final EventLoop mLoop;
+    private final WireFormat mFormat;
+    private final String mLocalAddress;
+
+    /** Creates a probe whose connections run on a loop. */
+    public ServerProbe(EventLoop loop, WireFormat format, String localAddress) {
+        mLoop = loop;
+        mFormat = format;
+        mLocalAddress = localAddress;
+    }
+
+    /**
+     * Sends a statement and closes the connection.
+     *
+     * @param timeoutMillis milliseconds for connection and answer together
+     * @return what the server said, on the loop; never fails
+     */
+    public CompletableFuture<ProbeAnswer> send(
+            CatalogServer server, Statement statement, long timeoutMillis) {
+        CompletableFuture<ProbeAnswer> result = new CompletableFuture<>();
+        ServerLink link = new ServerLink(mFormat, server, NO_WORKSPACE);
+        mLoop.schedule(
+                () -> {
+                    result.complete(ProbeAnswer.NONE);
+                    link.close("the probe took too long");
+                },
+                timeoutMillis,
+                TimeUnit.MILLISECONDS);
+        link.open(mLoop, mLocalAddress, reply -> onOpened(link, statement, reply, result));
+        return result;
+    }
+
+    private void onOpened(
+            ServerLink link,
+            Statement statement,
+            ServerReply reply,
+            CompletableFuture<ProbeAnswer> result) {
+        if (reply.isDone()) {
+            ask(link, statement, 0, result);
+            return;
+        }
+        // A server without a free connection closes a new one at once, but it lives.
+        boolean isAlive = !reply.isLost() || link.wasConnected();
+        result.complete(isAlive ? ProbeAnswer.ALIVE : ProbeAnswer.NONE);
+    }
+
+    private void ask(
+            ServerLink link,
+            Statement statement,
+            int repeats,
+            CompletableFuture<ProbeAnswer> result) {
+        link.send(
+                Optional.empty(),
+                Optional.empty(),
+                statement,
+                reply -> {
+                    boolean isBusy = !reply.isLost() && reply.code() == FailureCode.BUSY;
+                    if (isBusy && repeats < MOST_REPEATS && !result.isDone()) {
+                        mLoop.schedule(
+                                () -> ask(link, statement, repeats + 1, result),
+                                REPEAT_MILLIS,
+                                TimeUnit.MILLISECONDS);
+                        return;
+                    }
+                    result.complete(answer(reply));
+                    link.close("the probe has ended");
+                });
+    }
+
+    private ProbeAnswer answer(ServerReply reply) {
+        if (reply.isLost()) {
+            return ProbeAnswer.NONE;
+        }
+        return reply.isDone()
+                ? new ProbeAnswer(true, mFormat.readStatus(reply.rows()))
+                : ProbeAnswer.ALIVE;
+    }
+}
