--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -70,6 +70,7 @@
         Optional<ServerPool> primary = mGroup.primary(mBinder.now());
         if (primary.isEmpty() || primary.get().health().isAvoided(mBinder.now())) {
             mLastReason = primary.isEmpty() ? "no primary is known" : "the primary does not answer";
+            primary.ifPresent(mBinder::suspect);
             mBinder.later(PRIMARY_POLL_MILLIS, this::bindPrimary);
             return;
         }
@@ -143,6 +144,9 @@
     private void onAcquired(ServerPool pool, Optional<LogPosition> required, PoolAnswer answer) {
         if (answer.link().isEmpty()) {
             mLastReason = answer.reason();
+            if (mRequest.purpose().isAtPrimary() && pool.health().failures() > 0) {
+                mBinder.suspect(pool);
+            }
             tryElsewhere(pool);
             return;
         }
@@ -187,6 +191,7 @@
         }
         boolean readOnly = mRequest.purpose() == BindPurpose.READ_TRANSACTION;
         long sent = mBinder.now();
+        mBinder.watchPrimary(bound, mRequest.purpose());
         bound.link()
                 .send(
                         Optional.empty(),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.plantainferry.engine.placement.ReadPlacement;
 
 /**
@@ -13,16 +14,26 @@
  * <p>Used by the traffic thread only.
  */
 final class Binder {
+    // Longer than the longest statement together with a full queue at the server.
+    private static final long SILENCE_MILLIS = 300;
+
     private final EventLoop mLoop;
     private final GroupDirectory mGroups;
     private final ReadPlacement mPlacement;
     private final LongSupplier mClock;
+    private final Supplier<PrimarySuspicion> mSuspicion;
 
-    Binder(EventLoop loop, GroupDirectory groups, ReadPlacement placement, LongSupplier clock) {
+    Binder(
+            EventLoop loop,
+            GroupDirectory groups,
+            ReadPlacement placement,
+            LongSupplier clock,
+            Supplier<PrimarySuspicion> suspicion) {
         mLoop = loop;
         mGroups = groups;
         mPlacement = placement;
         mClock = clock;
+        mSuspicion = suspicion;
     }
 
     /**
@@ -42,6 +53,27 @@
         return mPlacement;
     }
 
+    /** Reports that a server which should be the primary does not answer. */
+    void suspect(ServerPool pool) {
+        mSuspicion.get().onSuspected(pool.server().service(), pool.server().id());
+    }
+
+    /** Suspects the primary when a statement that is sent now stays without an answer. */
+    void watchPrimary(BoundLink bound, BindPurpose purpose) {
+        if (!purpose.isAtPrimary()) {
+            return;
+        }
+        long sent = now();
+        later(
+                SILENCE_MILLIS,
+                () -> {
+                    if (bound.link().isAnswering()
+                            && !bound.pool().health().hasAnsweredSince(sent)) {
+                        suspect(bound.pool());
+                    }
+                });
+    }
+
     long now() {
         return mClock.getAsLong();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
@@ -1,5 +1,6 @@
 package org.plantainferry.gateway.traffic;
 
+import java.util.Map;
 import java.util.Set;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
 import org.plantainferry.engine.catalog.ServerCatalog;
@@ -10,16 +11,21 @@
  * @param configuration the configuration in force
  * @param catalog the servers
  * @param confirmedNanos the time for which the store last confirmed the configuration
- * @param otherInstances the instances besides this one
+ * @param otherDomains the failure domain of each instance besides this one
  * @since 0.2
  */
 public record FleetView(
         RoutingConfiguration configuration,
         ServerCatalog catalog,
         long confirmedNanos,
-        Set<String> otherInstances) {
-    /** Copies the set. */
+        Map<String, String> otherDomains) {
+    /** Copies the map. */
     public FleetView {
-        otherInstances = Set.copyOf(otherInstances);
+        otherDomains = Map.copyOf(otherDomains);
+    }
+
+    /** Returns the instances besides this one. */
+    public Set<String> otherInstances() {
+        return otherDomains.keySet();
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
@@ -5,12 +5,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
+import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.WireFormat;
 
 /**
@@ -20,11 +23,12 @@
  */
 final class GroupDirectory {
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
-    private static final double CONNECTION_HEADROOM = 1.6;
     private static final int DEFAULT_CONNECTIONS = 30;
 
     private final EventLoop mLoop;
     private final WireFormat mFormat;
+    private final String mInstance;
+    private final String mFailureDomain;
     private final String mLocalAddress;
     private final LongSupplier mClock;
     private final TrafficCounters mCounters;
@@ -33,12 +37,14 @@
     GroupDirectory(
             EventLoop loop,
             WireFormat format,
-            String localAddress,
+            GatewaySettings settings,
             LongSupplier clock,
             TrafficCounters counters) {
         mLoop = loop;
         mFormat = format;
-        mLocalAddress = localAddress;
+        mInstance = settings.instance();
+        mFailureDomain = settings.failureDomain();
+        mLocalAddress = settings.localAddress();
         mClock = clock;
         mCounters = counters;
     }
@@ -49,11 +55,16 @@
 
     /** Applies a new view: opens pools of new servers and closes those of servers that left. */
     void follow(FleetView view) {
+        Map<String, String> domains = new HashMap<>(view.otherDomains());
+        domains.put(mInstance, mFailureDomain);
+        ConnectionPlan plan = new ConnectionPlan(mInstance, domains);
         Set<String> present = new HashSet<>();
-        for (CatalogServer server : view.catalog().all()) {
-            present.add(server.id());
-            followServer(server, connectionLimit(view, server));
+        for (String service : view.catalog().services()) {
+            followService(view, plan, service, present);
         }
+        mGroups.forEach(
+                (service, group) ->
+                        group.setPrimary(view.catalog().primary(service).map(CatalogServer::id)));
         for (GroupState group : mGroups.values()) {
             for (ServerPool pool : List.copyOf(group.pools().values())) {
                 if (!present.contains(pool.server().id())) {
@@ -64,11 +75,18 @@
         }
     }
 
-    private static int connectionLimit(FleetView view, CatalogServer server) {
-        GroupSettings settings = view.configuration().groups().get(server.service());
+    private void followService(
+            FleetView view, ConnectionPlan plan, String service, Set<String> present) {
+        GroupSettings settings = view.configuration().groups().get(service);
         int connections = settings == null ? DEFAULT_CONNECTIONS : settings.maximumConnections();
-        int instances = view.otherInstances().size() + 1;
-        return Math.max(1, (int) (connections * CONNECTION_HEADROOM / instances));
+        List<CatalogServer> servers = view.catalog().servers(service);
+        Optional<String> primary = view.catalog().primary(service).map(CatalogServer::id);
+        Map<String, Integer> limits = plan.limits(servers, primary, connections);
+        for (CatalogServer server : servers) {
+            present.add(server.id());
+            followServer(server, limits.get(server.id()));
+        }
+        group(service).setHome(plan.home(mInstance, servers, primary).map(CatalogServer::id));
     }
 
     private void followServer(CatalogServer server, int limit) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -22,6 +22,8 @@
     private final PositionSamples mSamples = new PositionSamples();
     private final List<Runnable> mSampleWaiters = new ArrayList<>();
     private boolean mSampling;
+    private String mPrimary = "";
+    private String mHome = "";
 
     PositionSamples samples() {
         return mSamples;
@@ -32,9 +34,21 @@
     }
 
     Collection<ReadCandidate> candidates() {
-        return mPools.values().stream()
-                .map(pool -> new ReadCandidate(pool.server(), pool.health()))
-                .toList();
+        return mPools.values().stream().map(pool -> candidate(pool)).toList();
+    }
+
+    private ReadCandidate candidate(ServerPool pool) {
+        String id = pool.server().id();
+        return new ReadCandidate(
+                pool.server(),
+                pool.health(),
+                id.equals(mPrimary),
+                id.equals(mHome),
+                pool.waiting());
+    }
+
+    void setHome(Optional<String> server) {
+        mHome = server.orElse("");
     }
 
     Optional<ServerPool> chooseForRead(
@@ -47,12 +61,14 @@
                 .map(candidate -> mPools.get(candidate.server().id()));
     }
 
-    /** Returns the server that sees itself as the primary and has not refused as a replica. */
+    /** Returns the primary that control knows, unless it refused as a replica since. */
     Optional<ServerPool> primary(long nowNanos) {
-        return mPools.values().stream()
-                .filter(pool -> pool.server().primary())
-                .filter(pool -> !pool.health().isDeposed(nowNanos))
-                .findFirst();
+        return Optional.ofNullable(mPools.get(mPrimary))
+                .filter(pool -> !pool.health().isDeposed(nowNanos));
+    }
+
+    void setPrimary(Optional<String> server) {
+        mPrimary = server.orElse("");
     }
 
     /** Runs an action when the sample that is being taken is there; false when none is taken. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
@@ -51,6 +51,7 @@
     private Runnable mOnClosed = () -> {};
     private ServerMessage mResult;
     private boolean mClosed;
+    private boolean mConnected;
     private long mIdleSinceNanos;
 
     ServerLink(WireFormat format, CatalogServer server, String workspace) {
@@ -121,6 +122,7 @@
             return;
         }
         mChannel = done.channel();
+        mConnected = true;
         if (mClosed) {
             mChannel.close();
             return;
@@ -146,6 +148,11 @@
         mChannel.writeAndFlush(line + LineCodec.LINE_END, mChannel.voidPromise());
     }
 
+    /** Returns whether the server has ever taken the connection. */
+    boolean wasConnected() {
+        return mConnected;
+    }
+
     boolean isAnswering() {
         return !mPending.isEmpty();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -116,6 +116,7 @@
         mUnanswered++;
         long sent = mBinder.now();
         bound.pool().health().onSent();
+        mBinder.watchPrimary(bound, mPurpose);
         bound.link()
                 .send(
                         Optional.of(mRequestId),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -43,6 +43,7 @@
      * @param loop the traffic thread
      * @param view the latest view of control
      * @param clock time that includes suspensions of the machine, in nanoseconds
+     * @param suspicion where primaries that do not answer are reported
      */
     public TrafficServer(
             EventLoop loop,
@@ -50,10 +51,11 @@
             WireFormat format,
             Supplier<FleetView> view,
             LongSupplier clock,
+            Supplier<PrimarySuspicion> suspicion,
             TrafficCounters counters) {
         mLoop = loop;
         mSettings = settings;
-        mGroups = new GroupDirectory(loop, format, settings.localAddress(), clock, counters);
+        mGroups = new GroupDirectory(loop, format, settings, clock, counters);
         LimitTerms terms =
                 new LimitTerms(
                         settings.rateWindowMillis() / 1_000.0,
@@ -67,7 +69,12 @@
                         clock,
                         settings.keyWithdrawalMillis() - CONFIRMATION_MARGIN_MILLIS);
         Binder binder =
-                new Binder(loop, mGroups, new ReadPlacement(settings.failureDomain()), clock);
+                new Binder(
+                        loop,
+                        mGroups,
+                        new ReadPlacement(settings.failureDomain()),
+                        clock,
+                        suspicion);
         mContext = new TrafficContext(loop, format, binder, admission, counters);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -183,6 +183,7 @@
         call.mSent = true;
         long sent = mBinder.now();
         bound.pool().health().onSent();
+        mBinder.watchPrimary(bound, mPurpose);
         bound.link()
                 .send(
                         Optional.of(call.mRequestId),
