--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/freshness/PositionSamplesTest.java
@@ -0,0 +1,54 @@
+package org.plantainferry.engine.freshness;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Optional;
+import org.plantainferry.api.session.LogPosition;
+import org.testng.annotations.Test;
+
+/** Guards against reads at replicas that lack a commit which the guarantee demands. */
+public final class PositionSamplesTest {
+    private static final long MILLI = 1_000_000L;
+
+    private static LogPosition at(long term, long position) {
+        return new LogPosition(term, position);
+    }
+
+    @Test
+    public void coversATimeOnlyWithASampleThatWasAskedForAfterIt() {
+        PositionSamples samples = new PositionSamples();
+        samples.record(100 * MILLI, at(3, 10));
+        assertEquals(samples.covering(100 * MILLI), Optional.of(at(3, 10)));
+        assertEquals(samples.covering(100 * MILLI + 1), Optional.empty());
+    }
+
+    @Test
+    public void returnsTheLowestPositionThatCoversTheTime() {
+        PositionSamples samples = new PositionSamples();
+        samples.record(100 * MILLI, at(3, 10));
+        samples.record(300 * MILLI, at(3, 30));
+        samples.record(500 * MILLI, at(3, 50));
+        assertEquals(samples.covering(200 * MILLI), Optional.of(at(3, 30)));
+    }
+
+    @Test
+    public void ignoresALateAnswerOfAFormerPrimary() {
+        PositionSamples samples = new PositionSamples();
+        samples.record(100 * MILLI, at(4, 10));
+        samples.record(200 * MILLI, at(3, 90));
+        assertEquals(samples.newest(), Optional.of(at(4, 10)));
+        assertEquals(samples.covering(150 * MILLI), Optional.empty());
+    }
+
+    @Test
+    public void keepsSamplesOfAWholeBoundWhenThereAreMany() {
+        PositionSamples samples = new PositionSamples();
+        for (int milli = 0; milli < 5_000; milli++) {
+            samples.record(milli * MILLI, at(1, milli));
+        }
+        long since = 3_500 * MILLI;
+        assertEquals(samples.covering(since).isPresent(), true);
+        assertEquals(samples.covering(since).get().position() >= 3_500, true);
+        assertEquals(samples.newest(), Optional.of(at(1, 4_999)));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ConnectionPlanTest.java
@@ -0,0 +1,61 @@
+package org.plantainferry.engine.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.testng.annotations.Test;
+
+/** Guards against connections above the cap of a server, which it resets. */
+public final class ConnectionPlanTest {
+    private static final List<CatalogServer> SERVERS =
+            List.of(server("p", "a"), server("r1", "b"), server("r2", "c"));
+
+    private static CatalogServer server(String id, String domain) {
+        return new CatalogServer(id, "s", "10.0.0.1:1", domain, id.equals("p"), false, 3, 0);
+    }
+
+    private static Map<String, String> domains() {
+        Map<String, String> domains = new HashMap<>();
+        for (int index = 0; index < 15; index++) {
+            domains.put("i" + index, index < 7 ? "a" : index < 11 ? "b" : "c");
+        }
+        return domains;
+    }
+
+    @Test
+    public void sendsReadsToTheReplicaOfTheOwnFailureDomain() {
+        ConnectionPlan plan = new ConnectionPlan("i8", domains());
+        assertEquals(
+                plan.home("i8", SERVERS, Optional.of("p")).map(CatalogServer::id),
+                Optional.of("r1"));
+    }
+
+    @Test
+    public void keepsAllInstancesTogetherBelowTheCapOfEachServer() {
+        Map<String, Integer> sum = new HashMap<>();
+        for (String instance : domains().keySet()) {
+            new ConnectionPlan(instance, domains())
+                    .limits(SERVERS, Optional.of("p"), 47)
+                    .forEach((server, limit) -> sum.merge(server, limit, Integer::sum));
+        }
+        sum.forEach((server, limit) -> assertTrue(limit <= 55, server + " " + limit));
+        assertTrue(sum.get("p") <= 47);
+    }
+
+    @Test
+    public void givesEachInstanceAtLeastOneConnection() {
+        Map<String, String> many = new HashMap<>();
+        for (int index = 0; index < 139; index++) {
+            many.put("i" + index, "a");
+        }
+        new ConnectionPlan("i3", many)
+                .limits(SERVERS, Optional.of("p"), 97)
+                .values()
+                .forEach(limit -> assertEquals((int) limit, 1));
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -0,0 +1,76 @@
+package org.plantainferry.engine.placement;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against reads at servers that are slow, silent or behind while others are free. */
+public final class ReadPlacementTest {
+    private static final long NOW = 5_000_000_000L;
+    private static final Optional<LogPosition> REQUIRED = Optional.of(new LogPosition(3, 100));
+
+    private ServerHealth mPrimary;
+    private ServerHealth mNear;
+    private ServerHealth mFar;
+
+    @BeforeMethod
+    public void forgetServers() {
+        mPrimary = new ServerHealth();
+        mNear = new ServerHealth();
+        mFar = new ServerHealth();
+    }
+
+    private String choose(Set<String> excluded) {
+        List<ReadCandidate> candidates =
+                List.of(
+                        new ReadCandidate(server("primary", "b", true), mPrimary, true, false, 0),
+                        new ReadCandidate(server("near", "a", false), mNear, false, true, 0),
+                        new ReadCandidate(server("far", "c", false), mFar, false, false, 0));
+        return new ReadPlacement("a")
+                .choose(candidates, REQUIRED, excluded, NOW)
+                .orElseThrow()
+                .server()
+                .id();
+    }
+
+    private static CatalogServer server(String id, String domain, boolean primary) {
+        return new CatalogServer(id, "s", "10.0.0.1:1", domain, primary, false, 3, 0);
+    }
+
+    @Test
+    public void prefersTheNearReplica() {
+        assertEquals(choose(Set.of()), "near");
+    }
+
+    @Test
+    public void passesOverAReplicaThatIsKnownToBeBehind() {
+        mNear.onPosition(NOW, new LogPosition(3, 99));
+        mFar.onPosition(NOW, new LogPosition(3, 99));
+        assertEquals(choose(Set.of()), "primary");
+    }
+
+    @Test
+    public void passesOverAServerThatFailedLately() {
+        mNear.onFailure(NOW);
+        assertEquals(choose(Set.of()).equals("near"), false);
+    }
+
+    @Test
+    public void spreadsReadsWhenTheNearReplicaIsLoaded() {
+        for (int index = 0; index < 9; index++) {
+            mNear.onSent();
+        }
+        assertEquals(choose(Set.of()).equals("near"), false);
+    }
+
+    @Test
+    public void choosesNoServerThatRefusedAlready() {
+        assertEquals(choose(Set.of("near", "primary")), "far");
+    }
+}
--- /dev/null
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
@@ -0,0 +1,193 @@
+package org.plantainferry.engine.quota;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.plantainferry.engine.catalog.WorkspaceLimit;
+import org.testng.annotations.Test;
+
+/** Guards against shares that add up to more than the limit, or starve an instance. */
+public final class DemandSharesTest {
+    private static final double TOLERANCE = 1e-9;
+    private static final long SECOND = 1_000_000_000L;
+
+    private static Set<String> others(int count, int self) {
+        Set<String> others = new HashSet<>();
+        for (int index = 0; index < count; index++) {
+            if (index != self) {
+                others.add("i" + index);
+            }
+        }
+        return others;
+    }
+
+    private static double sumOfShares(double[] demand, double rate) {
+        double sum = 0;
+        for (int self = 0; self < demand.length; self++) {
+            DemandShares shares = new DemandShares();
+            for (int other = 0; other < demand.length; other++) {
+                if (other != self) {
+                    shares.report("i" + other, demand[other], 0);
+                }
+            }
+            sum += shares.share(others(demand.length, self), demand[self], rate, SECOND);
+        }
+        return sum;
+    }
+
+    @Test
+    public void addsUpToOneWhereAllReportsHaveArrived() {
+        assertEquals(sumOfShares(new double[] {1, 2, 3, 40, 0}, 20), 1, TOLERANCE);
+    }
+
+    @Test
+    public void givesAnInstanceWithMostOfTheDemandMostOfTheLimit() {
+        DemandShares shares = new DemandShares();
+        shares.report("i1", 1, 0);
+        shares.report("i2", 1, 0);
+        assertTrue(shares.share(others(3, 0), 98, 100, SECOND) > 0.8);
+    }
+
+    @Test
+    public void leavesAnIdleInstanceSomethingForItsFirstCaller() {
+        DemandShares shares = new DemandShares();
+        shares.report("i1", 100, 0);
+        assertTrue(shares.share(others(2, 0), 0, 100, SECOND) > 0.03);
+    }
+
+    @Test
+    public void countsASilentInstanceUntilItsReportIsOld() {
+        DemandShares shares = new DemandShares();
+        shares.report("i1", 50, 0);
+        double soon = shares.share(Set.of(), 50, 100, SECOND);
+        double late = shares.share(Set.of(), 50, 100, DemandShares.REPORT_LIFETIME_NANOS + 1);
+        assertTrue(soon < 0.6);
+        assertEquals(late, 1, TOLERANCE);
+    }
+
+    @Test
+    public void neverExceedsTheLimitInAWindowWhenOneWorkspaceSendsSevenTimesItsRate() {
+        // The pattern: steady demand below the limit, then seven times as much on all instances.
+        double rate = 95;
+        double burst = 95;
+        int instances = 15;
+        LimitTerms terms = new LimitTerms(5, 0.1, 20);
+        Simulation simulation = new Simulation(instances, rate, burst, terms);
+        simulation.run(60, 4);
+        simulation.run(420, 8);
+        double allowed = (rate * 5 + burst) * 1.1 + 20;
+        assertTrue(
+                simulation.mostInWindow(5) <= allowed,
+                simulation.mostInWindow(5) + " of " + allowed);
+    }
+
+    @Test
+    public void refusesFewOperationsOfASmallWorkspaceBelowItsRate() {
+        // The pattern: a small workspace whose callers are spread over all instances.
+        Simulation simulation = new Simulation(15, 10, 10, new LimitTerms(5, 0.1, 20));
+        simulation.run(6, 30);
+        assertTrue(simulation.refusedPart() < 0.08, "refused " + simulation.refusedPart());
+    }
+
+    /** Runs instances with reports that arrive a quarter of a second late. */
+    private static final class Simulation {
+        private static final int STEPS_PER_SECOND = 100;
+        private static final int REPORT_STEPS = 25;
+
+        private final Random mRandom = new Random(7);
+        private final int mInstances;
+        private final double mRate;
+        private final double mBurst;
+        private final LimitTerms mTerms;
+        private final List<DemandShares> mShares = new ArrayList<>();
+        private final List<DemandRate> mDemand = new ArrayList<>();
+        private final List<ShareBucket> mBuckets = new ArrayList<>();
+        private final List<Long> mTaken = new ArrayList<>();
+        private long mStep;
+        private long mOffered;
+
+        Simulation(int instances, double rate, double burst, LimitTerms terms) {
+            mInstances = instances;
+            mRate = rate;
+            mBurst = burst;
+            mTerms = terms;
+            for (int index = 0; index < instances; index++) {
+                mShares.add(new DemandShares());
+                mDemand.add(new DemandRate(0));
+                mBuckets.add(new ShareBucket(0));
+            }
+        }
+
+        void run(double operationsPerSecond, int seconds) {
+            double perStep = operationsPerSecond / STEPS_PER_SECOND;
+            for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
+                mStep++;
+                if (mStep % REPORT_STEPS == 0) {
+                    report();
+                }
+                for (double left = perStep; left > 0; left--) {
+                    if (mRandom.nextDouble() < left) {
+                        offer(mRandom.nextInt(mInstances));
+                    }
+                }
+            }
+        }
+
+        private long now() {
+            return mStep * (SECOND / STEPS_PER_SECOND);
+        }
+
+        private void report() {
+            for (int sender = 0; sender < mInstances; sender++) {
+                double demand = mDemand.get(sender).perSecond(now());
+                for (int receiver = 0; receiver < mInstances; receiver++) {
+                    if (receiver != sender) {
+                        mShares.get(receiver).report("i" + sender, demand, now());
+                    }
+                }
+            }
+        }
+
+        private void offer(int instance) {
+            mOffered++;
+            mDemand.get(instance).count(now());
+            double share =
+                    mShares.get(instance)
+                            .share(
+                                    others(mInstances, instance),
+                                    mDemand.get(instance).perSecond(now()),
+                                    mRate,
+                                    now());
+            WorkspaceLimit limit = new WorkspaceLimit(mRate, mBurst);
+            mBuckets.get(instance)
+                    .resize(
+                            mRate * share,
+                            mBurst * share + mTerms.extraTokens(limit, mInstances),
+                            now());
+            if (mBuckets.get(instance).tryTake(now())) {
+                mTaken.add(now());
+            }
+        }
+
+        int mostInWindow(int seconds) {
+            int most = 0;
+            int first = 0;
+            for (int last = 0; last < mTaken.size(); last++) {
+                while (mTaken.get(last) - mTaken.get(first) > seconds * SECOND) {
+                    first++;
+                }
+                most = Math.max(most, last - first + 1);
+            }
+            return most;
+        }
+
+        double refusedPart() {
+            return 1 - (double) mTaken.size() / mOffered;
+        }
+    }
+}
