--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
@@ -21,6 +21,8 @@
 
     // Each instance keeps a part of the limit without demand, so that a first caller is served.
     private static final double IDLE_PART = 0.15;
+    // What nobody asks for is divided partly evenly, because few callers ask unevenly over time.
+    private static final double UNUSED_PART = 0.5;
 
     private record Report(double demandPerSecond, long receivedNanos) {}
 
@@ -36,21 +38,24 @@
      * Returns the part of the limit that this instance may use, from 0 to 1.
      *
      * @param others the registered instances besides this one
-     * @param ownDemand operations a second that were asked for here
+     * @param ownDemand operations a second that this instance last reported to the others; a share
+     *     that grew before they know of it would make all shares exceed the limit
      * @param ratePerSecond the limit of the workspace
      */
     public double share(Set<String> others, double ownDemand, double ratePerSecond, long nowNanos) {
         mReports.values().removeIf(each -> nowNanos - each.receivedNanos() > REPORT_LIFETIME_NANOS);
         double even = ratePerSecond / (others.size() + 1);
-        double idle = even * IDLE_PART;
-        double total = ownDemand + idle;
+        double demand = ownDemand;
         for (String other : others) {
             Report report = mReports.get(other);
-            total += idle + (report == null ? even : report.demandPerSecond());
+            demand += report == null ? even : report.demandPerSecond();
         }
         for (Map.Entry<String, Report> each : mReports.entrySet()) {
-            total += others.contains(each.getKey()) ? 0 : each.getValue().demandPerSecond();
+            demand += others.contains(each.getKey()) ? 0 : each.getValue().demandPerSecond();
         }
+        double unused = Math.max(0, ratePerSecond - demand) / (others.size() + 1);
+        double idle = Math.max(even * IDLE_PART, unused * UNUSED_PART);
+        double total = demand + idle * (others.size() + 1);
         return total <= 0 ? 0 : (ownDemand + idle) / total;
     }
 }
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/ReportPolicy.java
@@ -0,0 +1,73 @@
+package org.plantainferry.engine.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Decides when an instance tells the others of its demand.
+ *
+ * <p>A sudden rise is told at once, because the shares of the others are too large until they know
+ * of it. All other changes can wait, because reports between failure domains are expensive. Times
+ * are monotonic nanoseconds. Used by one thread.
+ *
+ * @since 0.2
+ */
+public final class ReportPolicy {
+    private static final long CHANGED_NANOS = 2_500_000_000L;
+    private static final long UNCHANGED_NANOS = 5_000_000_000L;
+    private static final double CHANGED_PART = 0.2;
+    private static final double CHANGED_LEAST = 0.3;
+    private static final double RISE_FACTOR = 1.8;
+    private static final double RISE_LEAST = 2.0;
+
+    private Map<String, Double> mReported = Map.of();
+    private long mReportedNanos;
+    private boolean mHasReported;
+
+    /** Creates a policy; its first report is due at once, so that the others know of it. */
+    public ReportPolicy(long nowNanos) {
+        mReportedNanos = nowNanos;
+    }
+
+    /**
+     * Returns whether a report is due, and if so takes the demand for reported.
+     *
+     * @param demandPerSecond the demand of each workspace
+     */
+    public boolean takeDue(Map<String, Double> demandPerSecond, long nowNanos) {
+        long age = nowNanos - mReportedNanos;
+        boolean isDue =
+                !mHasReported
+                        || age >= UNCHANGED_NANOS
+                        || (age >= CHANGED_NANOS && isChanged(demandPerSecond))
+                        || hasRisen(demandPerSecond);
+        if (isDue) {
+            mHasReported = true;
+            mReported = new HashMap<>(demandPerSecond);
+            mReportedNanos = nowNanos;
+        }
+        return isDue;
+    }
+
+    private boolean isChanged(Map<String, Double> demandPerSecond) {
+        return demandPerSecond.entrySet().stream()
+                .anyMatch(
+                        each -> {
+                            double before = reported(each.getKey());
+                            double change = Math.abs(each.getValue() - before);
+                            return change >= CHANGED_LEAST && change >= before * CHANGED_PART;
+                        });
+    }
+
+    private boolean hasRisen(Map<String, Double> demandPerSecond) {
+        return demandPerSecond.entrySet().stream()
+                .anyMatch(
+                        each ->
+                                each.getValue()
+                                        > reported(each.getKey()) * RISE_FACTOR + RISE_LEAST);
+    }
+
+    private double reported(String workspace) {
+        return mReported.getOrDefault(workspace, 0.0);
+    }
+}
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.plantainferry.engine.catalog.WorkspaceLimit;
@@ -94,10 +95,20 @@
         assertTrue(simulation.refusedPart() < 0.08, "refused " + simulation.refusedPart());
     }
 
+    @Test
+    public void sendsFewReportsWhileDemandIsSteady() {
+        Simulation simulation = new Simulation(15, 95, 95, new LimitTerms(5, 0.1, 20));
+        simulation.run(60, 30);
+        double perSecond = simulation.mReports / 30.0 / 15;
+        assertTrue(perSecond < 0.6, "reports a second and instance: " + perSecond);
+        assertTrue(simulation.refusedPart() < 0.02, "refused " + simulation.refusedPart());
+    }
+
     /** Runs instances with reports that arrive a quarter of a second late. */
     private static final class Simulation {
         private static final int STEPS_PER_SECOND = 100;
         private static final int REPORT_STEPS = 25;
+        private static final int ASKED = 3;
 
         private final Random mRandom = new Random(7);
         private final int mInstances;
@@ -106,19 +117,24 @@
         private final LimitTerms mTerms;
         private final List<DemandShares> mShares = new ArrayList<>();
         private final List<DemandRate> mDemand = new ArrayList<>();
+        private final List<ReportPolicy> mPolicies = new ArrayList<>();
         private final List<ShareBucket> mBuckets = new ArrayList<>();
         private final List<Long> mTaken = new ArrayList<>();
         private long mStep;
         private long mOffered;
+        private int mReports;
+        private final double[] mReported;
 
         Simulation(int instances, double rate, double burst, LimitTerms terms) {
             mInstances = instances;
+            mReported = new double[instances];
             mRate = rate;
             mBurst = burst;
             mTerms = terms;
             for (int index = 0; index < instances; index++) {
                 mShares.add(new DemandShares());
                 mDemand.add(new DemandRate(0));
+                mPolicies.add(new ReportPolicy(0));
                 mBuckets.add(new ShareBucket(0));
             }
         }
@@ -145,6 +161,11 @@
         private void report() {
             for (int sender = 0; sender < mInstances; sender++) {
                 double demand = mDemand.get(sender).perSecond(now());
+                if (!mPolicies.get(sender).takeDue(Map.of("w", demand), now())) {
+                    continue;
+                }
+                mReports++;
+                mReported[sender] = demand;
                 for (int receiver = 0; receiver < mInstances; receiver++) {
                     if (receiver != sender) {
                         mShares.get(receiver).report("i" + sender, demand, now());
@@ -156,22 +177,26 @@
         private void offer(int instance) {
             mOffered++;
             mDemand.get(instance).count(now());
+            boolean taken = tryTake(instance);
+            for (int asked = 0; asked < ASKED && !taken; asked++) {
+                taken = tryTake(mRandom.nextInt(mInstances));
+            }
+            if (taken) {
+                mTaken.add(now());
+            }
+        }
+
+        private boolean tryTake(int instance) {
             double share =
                     mShares.get(instance)
-                            .share(
-                                    others(mInstances, instance),
-                                    mDemand.get(instance).perSecond(now()),
-                                    mRate,
-                                    now());
+                            .share(others(mInstances, instance), mReported[instance], mRate, now());
             WorkspaceLimit limit = new WorkspaceLimit(mRate, mBurst);
             mBuckets.get(instance)
                     .resize(
                             mRate * share,
                             mBurst * share + mTerms.extraTokens(limit, mInstances),
                             now());
-            if (mBuckets.get(instance).tryTake(now())) {
-                mTaken.add(now());
-            }
+            return mBuckets.get(instance).tryTake(now());
         }
 
         int mostInWindow(int seconds) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -8,7 +8,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.SuspensionAwareClock;
 import org.plantainferry.gateway.control.ControlPlane;
@@ -61,6 +63,7 @@
                         mControl::view,
                         clock,
                         this::suspicion,
+                        this::borrow,
                         new TrafficCounters(registry));
         mFleet =
                 new FleetController(
@@ -83,22 +86,34 @@
         return mFleet.suspicion();
     }
 
+    private void borrow(String workspace, Consumer<Boolean> callback) {
+        mFleet.lender().borrow(workspace, callback);
+    }
+
     private boolean isReady() {
         return mOpen && !mLeaving && mControl.isReady();
     }
 
-    /** Starts control, and opens the callers' listener when a configuration is known. */
-    public void start() throws InterruptedException {
+    /**
+     * Starts control, and opens the callers' listener when a configuration is known.
+     *
+     * @param ended counts down when the process is to end
+     * @return whether callers are served; false when the process was told to end before
+     */
+    public boolean start(CountDownLatch ended) throws InterruptedException {
         mControl.start();
         mFleet.start();
         mOperators.start();
         while (!mControl.isReady()) {
-            TimeUnit.MILLISECONDS.sleep(OPEN_POLL_MILLIS);
+            if (ended.await(OPEN_POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+                return false;
+            }
         }
         mTraffic.start();
         mOpen = true;
         GatewayEvent.STARTED.log(
                 mSettings.instance(), mSettings.failureDomain(), mSettings.callerListener());
+        return true;
     }
 
     /**
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
@@ -71,9 +71,10 @@
         PlatformAdapter adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
         Gateway gateway = new Gateway(settings, adapter);
-        gateway.start();
-        ended.await();
-        gateway.drain();
+        if (gateway.start(ended)) {
+            ended.await();
+            gateway.drain();
+        }
         return 0;
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
@@ -2,9 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.quota.ReportPolicy;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.DemandReport;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
@@ -20,9 +23,6 @@
  */
 final class DemandExchange {
     private static final long CHECK_MILLIS = 250;
-    private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    private static final double LEAST_CHANGE_PART = 0.2;
-    private static final double LEAST_CHANGE = 1.0;
     private static final double LEAST_DEMAND = 0.05;
 
     private final EventLoop mLoop;
@@ -30,9 +30,10 @@
     private final TrafficServer mTraffic;
     private final PeerChannel mPeers;
     private final LongSupplier mClock;
+    private final ReportPolicy mPolicy;
+    private final Set<String> mHeard = new HashSet<>();
     private Map<String, InstanceEntry> mOthers = Map.of();
     private Map<String, Double> mReported = Map.of();
-    private long mReportedNanos;
 
     DemandExchange(
             EventLoop loop,
@@ -45,10 +46,10 @@
         mTraffic = traffic;
         mPeers = peers;
         mClock = clock;
+        mPolicy = new ReportPolicy(clock.getAsLong());
     }
 
     void start() {
-        mReportedNanos = mClock.getAsLong();
         mLoop.scheduleWithFixedDelay(
                 () -> mTraffic.readDemand(demand -> mLoop.execute(() -> onDemand(demand))),
                 CHECK_MILLIS,
@@ -58,31 +59,19 @@
 
     void onOthers(Map<String, InstanceEntry> others) {
         mOthers = others;
+        mHeard.retainAll(others.keySet());
     }
 
     private void onDemand(Map<String, Double> demand) {
-        long now = mClock.getAsLong();
-        boolean isDue = now - mReportedNanos >= REPEAT_NANOS;
-        if (!isDue && !isMoved(demand)) {
+        if (!mPolicy.takeDue(demand, mClock.getAsLong())) {
             return;
         }
-        mReported = new HashMap<>(demand);
-        mReportedNanos = now;
         InstanceMessage message = message(demand);
+        mReported = demand;
+        mTraffic.onDemandReported(demand);
         mOthers.values().forEach(other -> mPeers.send(message, other.peerAddress()));
     }
 
-    private boolean isMoved(Map<String, Double> demand) {
-        for (Map.Entry<String, Double> each : demand.entrySet()) {
-            double before = mReported.getOrDefault(each.getKey(), 0.0);
-            double change = Math.abs(each.getValue() - before);
-            if (change >= LEAST_CHANGE && change >= before * LEAST_CHANGE_PART) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private InstanceMessage message(Map<String, Double> demand) {
         DemandReport.Builder report = DemandReport.newBuilder();
         demand.forEach(
@@ -98,6 +87,11 @@
     }
 
     void onReport(String instance, DemandReport report) {
+        InstanceEntry sender = mOthers.get(instance);
+        if (sender != null && mHeard.add(instance)) {
+            // An instance that has just started divides limits badly until it has all reports.
+            mPeers.send(message(mReported), sender.peerAddress());
+        }
         Map<String, Double> demand = new HashMap<>();
         for (WorkspaceDemand each : report.getWorkspacesList()) {
             demand.put(each.getWorkspace(), (double) each.getOperationsPerSecond());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -14,12 +14,14 @@
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.ServerProbe;
+import org.plantainferry.gateway.traffic.TokenLender;
 import org.plantainferry.gateway.traffic.TrafficServer;
 
 /**
  * Joins the parts of control that work together with other instances.
  *
- * <p>Used by the control thread only, except {@link #start} and {@link #suspicion}.
+ * <p>Used by the control thread only, except {@link #start}, {@link #suspicion} and {@link
+ * #lender}.
  *
  * @since 0.2
  */
@@ -28,6 +30,7 @@
     private final Supplier<FleetView> mView;
     private final DemandExchange mDemand;
     private final ReachabilityPoll mPoll;
+    private final TokenExchange mTokens;
     private final PrimaryKeeper mKeeper;
 
     /**
@@ -51,6 +54,7 @@
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
         mDemand = new DemandExchange(loop, settings.instance(), traffic, peers, clock);
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
+        mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
         ReplacementTools tools =
                 new ReplacementTools(
                         settings.instance(),
@@ -80,10 +84,16 @@
         return mKeeper;
     }
 
+    /** Returns where traffic borrows tokens. */
+    public TokenLender lender() {
+        return mTokens;
+    }
+
     /** Follows a new view. */
     public void onView(FleetView view, Map<String, InstanceEntry> others) {
         mDemand.onOthers(others);
         mPoll.onOthers(others);
+        mTokens.onOthers(others);
         mKeeper.onView(view);
     }
 
@@ -91,6 +101,8 @@
         switch (message.getContentCase()) {
             case DEMAND_REPORT ->
                     mDemand.onReport(message.getInstance(), message.getDemandReport());
+            case TOKEN_QUESTION -> mTokens.onQuestion(message.getTokenQuestion(), sender);
+            case TOKEN_ANSWER -> mTokens.onAnswer(message.getTokenAnswer());
             case REACHABILITY_ANSWER -> mPoll.onAnswer(message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
                     mView.get()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/AdmissionControl.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/AdmissionControl.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.DatabaseRoute;
@@ -67,20 +68,26 @@
         return new Admission.Granted(workspace.get(), route.get());
     }
 
-    /** Checks as {@link #check} and counts an operation against the limit of the workspace. */
-    Admission admitOperation(String database, String key) {
+    /**
+     * Checks as {@link #check} and counts an operation against the limit of the workspace.
+     *
+     * @param callback runs once, now or shortly after
+     */
+    void admitOperation(String database, String key, Consumer<Admission> callback) {
         Admission admission = check(database, key);
         if (!(admission instanceof Admission.Granted granted)) {
-            return admission;
-        }
-        Optional<Long> retryAfterMillis = mLimits.take(granted.workspace());
-        if (retryAfterMillis.isEmpty()) {
-            return admission;
+            callback.accept(admission);
+            return;
         }
+        mLimits.take(
+                granted.workspace(),
+                retryAfterMillis ->
+                        callback.accept(retryAfterMillis.map(this::overLimit).orElse(admission)));
+    }
+
+    private Admission overLimit(long retryAfterMillis) {
         return new Admission.Refused(
-                FailureCode.BUSY,
-                "the workspace has used up its rate and burst",
-                retryAfterMillis.get());
+                FailureCode.BUSY, "the workspace has used up its rate and burst", retryAfterMillis);
     }
 
     RoutingConfiguration configuration() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.plantainferry.engine.sessionstate.PreparedShape;
 import org.plantainferry.engine.sessionstate.SessionValues;
 import org.plantainferry.gateway.log.GatewayEvent;
@@ -180,25 +181,34 @@
             fail(FailureCode.MALFORMED, "a transaction is open already");
             return;
         }
-        Optional<OperationContext> context = admit(request);
-        if (context.isEmpty()) {
-            return;
-        }
-        mTransaction = new Transaction(mTraffic.binder(), context.get(), begin.readOnly());
-        acknowledge();
+        admit(
+                request,
+                context -> {
+                    mTransaction = new Transaction(mTraffic.binder(), context, begin.readOnly());
+                    acknowledge();
+                });
     }
 
-    /** Admits a new operation, or answers the refusal. */
-    private Optional<OperationContext> admit(CallerMessage.Request request) {
-        Admission admission = mTraffic.admission().admitOperation(mDatabase, mKey);
+    /** Admits a new operation and goes on with it, or answers the refusal. */
+    private void admit(CallerMessage.Request request, Consumer<OperationContext> next) {
+        mTraffic.admission()
+                .admitOperation(
+                        mDatabase, mKey, admission -> onAdmission(request, admission, next));
+    }
+
+    private void onAdmission(
+            CallerMessage.Request request, Admission admission, Consumer<OperationContext> next) {
+        if (mClosed) {
+            return;
+        }
         if (admission instanceof Admission.Granted granted) {
             mOperationNanos = mTraffic.binder().now();
-            return Optional.of(
+            next.accept(
                     new OperationContext(
                             granted.workspace(), granted.route(), mValues, mPositions));
+            return;
         }
         refuse(request, (Admission.Refused) admission);
-        return Optional.empty();
     }
 
     private void refuse(CallerMessage.Request request, Admission.Refused refused) {
@@ -273,18 +283,18 @@
             runInTransaction(request, prepared.get());
             return;
         }
-        Optional<OperationContext> context = admit(request);
-        if (context.isEmpty()) {
-            return;
-        }
-        String workspace = context.get().workspace();
+        admit(request, context -> runSingle(request, context, prepared.get()));
+    }
+
+    private void runSingle(
+            CallerMessage.Request request, OperationContext context, PreparedStatement statement) {
         new SingleStatement(
                         mTraffic.binder(),
-                        context.get(),
+                        context,
                         request.id(),
-                        prepared.get(),
+                        statement,
                         result -> {
-                            report(workspace, result);
+                            report(context.workspace(), result);
                             writeResult(result);
                         })
                 .start();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -44,6 +44,7 @@
      * @param view the latest view of control
      * @param clock time that includes suspensions of the machine, in nanoseconds
      * @param suspicion where primaries that do not answer are reported
+     * @param lender asks other instances for tokens
      */
     public TrafficServer(
             EventLoop loop,
@@ -52,6 +53,7 @@
             Supplier<FleetView> view,
             LongSupplier clock,
             Supplier<PrimarySuspicion> suspicion,
+            TokenLender lender,
             TrafficCounters counters) {
         mLoop = loop;
         mSettings = settings;
@@ -61,7 +63,7 @@
                         settings.rateWindowMillis() / 1_000.0,
                         settings.rateExcess(),
                         settings.rateSlack());
-        mLimits = new WorkspaceLimits(view, terms, System::nanoTime);
+        mLimits = new WorkspaceLimits(view, terms, System::nanoTime, lender);
         AdmissionControl admission =
                 new AdmissionControl(
                         view,
@@ -122,6 +124,21 @@
         mLoop.execute(() -> callback.accept(mLimits.demand()));
     }
 
+    /** Notes what the other instances were told of the demand here; for any thread. */
+    public void onDemandReported(Map<String, Double> demandPerSecond) {
+        mLoop.execute(() -> mLimits.onReported(demandPerSecond));
+    }
+
+    /** Takes a token for another instance; the callback runs on the traffic thread. */
+    public void lend(String workspace, Consumer<Boolean> callback) {
+        mLoop.execute(() -> callback.accept(mLimits.lend(workspace)));
+    }
+
+    /** Runs an action on the traffic thread. */
+    public void run(Runnable action) {
+        mLoop.execute(action);
+    }
+
     /** Closes sessions without work, now and as soon as the others have none; for any thread. */
     public void closeIdleSessions() {
         mLoop.execute(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.WorkspaceLimit;
@@ -19,6 +20,7 @@
  */
 final class WorkspaceLimits {
     private static final long LONGEST_RETRY_MILLIS = 1_000;
+    private static final long ASK_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long RESIZE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Holds what is known of one workspace. */
@@ -26,35 +28,81 @@
         private final DemandRate mDemand;
         private final DemandShares mShares = new DemandShares();
         private final ShareBucket mBucket;
+        private double mReportedDemand;
         private long mResizedNanos;
         private boolean mResized;
+        private long mAskAgainNanos;
 
         Share(long nowNanos) {
             mDemand = new DemandRate(nowNanos);
             mBucket = new ShareBucket(nowNanos);
+            mAskAgainNanos = nowNanos;
+        }
+
+        /** When nobody has a token, further questions would only repeat the answer. */
+        void noteAsked(boolean granted, long nowNanos) {
+            mAskAgainNanos = granted ? nowNanos : nowNanos + ASK_PAUSE_NANOS;
         }
     }
 
     private final Supplier<FleetView> mView;
     private final LimitTerms mTerms;
     private final LongSupplier mSteadyClock;
+    private final TokenLender mLender;
     private final Map<String, Share> mByWorkspace = new HashMap<>();
 
-    WorkspaceLimits(Supplier<FleetView> view, LimitTerms terms, LongSupplier steadyClock) {
+    WorkspaceLimits(
+            Supplier<FleetView> view,
+            LimitTerms terms,
+            LongSupplier steadyClock,
+            TokenLender lender) {
         mView = view;
         mTerms = terms;
         mSteadyClock = steadyClock;
+        mLender = lender;
+    }
+
+    /**
+     * Counts an operation.
+     *
+     * @param callback receives nothing when the operation may go on, or the milliseconds after
+     *     which to come back; it runs once, now or after other instances were asked for a token
+     */
+    void take(String workspace, Consumer<Optional<Long>> callback) {
+        Optional<Long> retryAfterMillis = takeHere(workspace, true);
+        if (retryAfterMillis.isEmpty() || !mayAsk(workspace)) {
+            callback.accept(retryAfterMillis);
+            return;
+        }
+        mLender.borrow(
+                workspace,
+                granted -> {
+                    mByWorkspace.get(workspace).noteAsked(granted, mSteadyClock.getAsLong());
+                    callback.accept(granted ? Optional.empty() : retryAfterMillis);
+                });
+    }
+
+    /** Takes a token for an operation of another instance; returns whether there was one. */
+    boolean lend(String workspace) {
+        return mView.get().configuration().limits().containsKey(workspace)
+                && takeHere(workspace, false).isEmpty();
+    }
+
+    private boolean mayAsk(String workspace) {
+        Share share = mByWorkspace.get(workspace);
+        return share != null && mSteadyClock.getAsLong() - share.mAskAgainNanos >= 0;
     }
 
-    /** Counts an operation; returns the milliseconds after which to come back when refused. */
-    Optional<Long> take(String workspace) {
+    private Optional<Long> takeHere(String workspace, boolean isOwnDemand) {
         WorkspaceLimit limit = mView.get().configuration().limits().get(workspace);
         if (limit == null) {
             return Optional.empty();
         }
         long now = mSteadyClock.getAsLong();
         Share share = mByWorkspace.computeIfAbsent(workspace, key -> new Share(now));
-        share.mDemand.count(now);
+        if (isOwnDemand) {
+            share.mDemand.count(now);
+        }
         resize(share, limit, now);
         if (share.mBucket.tryTake(now)) {
             return Optional.empty();
@@ -71,10 +119,7 @@
         FleetView view = mView.get();
         double part =
                 share.mShares.share(
-                        view.otherInstances(),
-                        share.mDemand.perSecond(now),
-                        limit.ratePerSecond(),
-                        now);
+                        view.otherInstances(), share.mReportedDemand, limit.ratePerSecond(), now);
         int instances = view.otherInstances().size() + 1;
         share.mBucket.resize(
                 limit.ratePerSecond() * part,
@@ -103,6 +148,15 @@
         return demand;
     }
 
+    /** Lets shares follow the demand that the other instances have just been told of. */
+    void onReported(Map<String, Double> demandPerSecond) {
+        mByWorkspace.forEach(
+                (workspace, share) -> {
+                    share.mReportedDemand = demandPerSecond.getOrDefault(workspace, 0.0);
+                    share.mResized = false;
+                });
+    }
+
     /** Forgets workspaces that the configuration no longer has. */
     void forgetRemoved() {
         mByWorkspace.keySet().retainAll(mView.get().configuration().limits().keySet());
