Reach a primary through another instance while this one is cut off from it

Cause: a primary that is cut off from some instances stays the primary because others reach it, and those instances could serve neither writes nor reads that need its position for the whole cut. Change: the instance that answered that it reaches the primary passes connections on.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
@@ -53,6 +53,12 @@
         mAnsweredNanos = nowNanos;
     }
 
+    /** Notes that the server can be reached in another way. */
+    public void onReachable() {
+        mFailures = 0;
+        mAvoided = false;
+    }
+
     /** Notes a lost connection, a missing answer or an error of the server. */
     public void onFailure(long nowNanos) {
         int doublings = Math.min(MOST_DOUBLINGS, mFailures);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.relay.RelayServer;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PlatformConnection;
@@ -51,6 +52,8 @@
         PeerChannel peers =
                 new PeerChannel(
                         loop, settings.localAddress(), settings.peerPort(), this::onMessage);
+        new RelayServer(loop, settings.localAddress(), id -> view.get().catalog().server(id))
+                .start(settings.peerPort());
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
         mDemand = new DemandExchange(loop, settings.instance(), traffic, peers, clock);
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
@@ -70,6 +73,7 @@
                         clock,
                         probe,
                         mPoll,
+                        traffic,
                         (service, cause, ended) ->
                                 new PrimaryReplacement(loop, tools, view, service, cause, ended));
     }
@@ -103,7 +107,8 @@
                     mDemand.onReport(message.getInstance(), message.getDemandReport());
             case TOKEN_QUESTION -> mTokens.onQuestion(message.getTokenQuestion(), sender);
             case TOKEN_ANSWER -> mTokens.onAnswer(message.getTokenAnswer());
-            case REACHABILITY_ANSWER -> mPoll.onAnswer(message.getReachabilityAnswer());
+            case REACHABILITY_ANSWER ->
+                    mPoll.onAnswer(message.getInstance(), message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
                     mView.get()
                             .catalog()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -12,11 +12,13 @@
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.engine.promotion.SuspicionVote;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.statement.Statement;
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.ProbeAnswer;
 import org.plantainferry.gateway.traffic.ServerProbe;
+import org.plantainferry.gateway.traffic.TrafficServer;
 
 /**
  * Watches the primary of each group and starts its replacement.
@@ -39,6 +41,7 @@
     private final LongSupplier mClock;
     private final ServerProbe mProbe;
     private final ReachabilityPoll mPoll;
+    private final TrafficServer mTraffic;
     private final ReplacementFactory mFactory;
     private final Set<String> mWatched = new HashSet<>();
     private final Set<String> mSuspected = new HashSet<>();
@@ -58,12 +61,14 @@
             LongSupplier clock,
             ServerProbe probe,
             ReachabilityPoll poll,
+            TrafficServer traffic,
             ReplacementFactory factory) {
         mLoop = loop;
         mInstance = instance;
         mClock = clock;
         mProbe = probe;
         mPoll = poll;
+        mTraffic = traffic;
         mFactory = factory;
     }
 
@@ -154,16 +159,25 @@
             return;
         }
         GatewayEvent.PRIMARY_SUSPECTED.log(service, server, "no answer to a probe");
-        mPoll.ask(server, verdict -> onVerdict(service, server, verdict));
+        mPoll.ask(server, (verdict, reachedBy) -> onVerdict(service, server, verdict, reachedBy));
     }
 
-    private void onVerdict(String service, String server, SuspicionVote.Verdict verdict) {
+    private void onVerdict(
+            String service,
+            String server,
+            SuspicionVote.Verdict verdict,
+            Optional<InstanceEntry> reachedBy) {
         GatewayEvent.PRIMARY_SUSPECTED.log(service, server, "verdict " + verdict);
         boolean isPrimary =
                 mCatalog.primary(service).filter(each -> each.id().equals(server)).isPresent();
         if (verdict == SuspicionVote.Verdict.REPLACE && isPrimary) {
             replace(service, ReplacementCause.UNREACHABLE);
         }
+        reachedBy.ifPresent(
+                instance -> {
+                    GatewayEvent.RELAY_USED.log(server, instance.name());
+                    mTraffic.relay(service, server, instance.peerAddress());
+                });
         endSuspicion(service);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReachabilityPoll.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReachabilityPoll.java
@@ -7,9 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.promotion.SuspicionVote;
 import org.plantainferry.gateway.peer.PeerChannel;
@@ -41,9 +42,12 @@
 
     private static final class Poll {
         private final SuspicionVote mVote;
-        private final Consumer<SuspicionVote.Verdict> mCallback;
+        private Optional<InstanceEntry> mReachedBy = Optional.empty();
+        private final BiConsumer<SuspicionVote.Verdict, Optional<InstanceEntry>> mCallback;
 
-        Poll(SuspicionVote vote, Consumer<SuspicionVote.Verdict> callback) {
+        Poll(
+                SuspicionVote vote,
+                BiConsumer<SuspicionVote.Verdict, Optional<InstanceEntry>> callback) {
             mVote = vote;
             mCallback = callback;
         }
@@ -63,8 +67,8 @@
         mOthers = others;
     }
 
-    /** Asks the others; the callback runs once, with their verdict. */
-    void ask(String server, Consumer<SuspicionVote.Verdict> callback) {
+    /** Asks the others; the callback runs once, with their verdict and one that reaches it. */
+    void ask(String server, BiConsumer<SuspicionVote.Verdict, Optional<InstanceEntry>> callback) {
         List<InstanceEntry> asked = new ArrayList<>(mOthers.values());
         Collections.shuffle(asked, mRandom);
         if (asked.size() > MOST_ASKED) {
@@ -88,16 +92,19 @@
     private void end(long number) {
         Poll poll = mPolls.remove(number);
         if (poll != null) {
-            poll.mCallback.accept(poll.mVote.verdict());
+            poll.mCallback.accept(poll.mVote.verdict(), poll.mReachedBy);
         }
     }
 
-    void onAnswer(ReachabilityAnswer answer) {
+    void onAnswer(String instance, ReachabilityAnswer answer) {
         Poll poll = mPolls.get(answer.getNumber());
         if (poll == null) {
             return;
         }
         poll.mVote.onAnswer(answer.getReached());
+        if (answer.getReached()) {
+            poll.mReachedBy = Optional.ofNullable(mOthers.get(instance));
+        }
         if (poll.mVote.isDecided()) {
             end(answer.getNumber());
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -44,6 +44,10 @@
             6203, Logger.Level.WARN, "promotion-ordered service=%s server=%s token=%d received=%s"),
     /** A promotion ended. */
     PROMOTION_ENDED(6204, Logger.Level.INFO, "promotion-ended service=%s outcome=%s took-ms=%d"),
+    /** Statements for a primary go through another instance, which reaches it. */
+    RELAY_USED(6205, Logger.Level.WARN, "relay-used server=%s through=%s"),
+    /** A connection of another instance was not passed on. */
+    RELAY_REFUSED(6206, Logger.Level.WARN, "relay-refused server=%s reason=\"%s\""),
     /** No server could take a request in time. */
     REQUEST_UNPLACED(
             6301,
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Passes connections on to servers that another instance does not reach. */
+package org.plantainferry.gateway.relay;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -11,7 +11,7 @@
  * @param localAddress the IP number to which connections are bound
  * @param callerListener IP:PORT for callers
  * @param operatorListener IP:PORT for health, metrics and status
- * @param peerPort the UDP port for messages of other instances
+ * @param peerPort the UDP port for messages and TCP port for relayed connections of other instances
  * @param storeAddress IP:PORT of the platform's store
  * @param ordersAddress IP:PORT of the platform's service for orders
  * @param drainMillis how long the process may take to end after a signal
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
@@ -88,8 +88,16 @@
         mOnClosed = action;
     }
 
-    /** Opens the connection and the session at the server; the callback runs once. */
-    void open(EventLoop loop, String localAddress, Consumer<ServerReply> opened) {
+    /**
+     * Opens the connection and the session at the server; the callback runs once.
+     *
+     * @param relay the address of an instance through which the connection goes; empty for none
+     */
+    void open(
+            EventLoop loop,
+            String localAddress,
+            Optional<String> relay,
+            Consumer<ServerReply> opened) {
         mOpened = opened;
         mOpenTimeout =
                 loop.schedule(
@@ -112,11 +120,11 @@
                                     }
                                 });
         bootstrap
-                .connect(SocketAddresses.parse(mServer.address()))
-                .addListener((ChannelFuture done) -> onConnected(done));
+                .connect(SocketAddresses.parse(relay.orElse(mServer.address())))
+                .addListener((ChannelFuture done) -> onConnected(done, relay.isPresent()));
     }
 
-    private void onConnected(ChannelFuture done) {
+    private void onConnected(ChannelFuture done, boolean relayed) {
         if (!done.isSuccess()) {
             close("cannot connect: " + done.cause().getMessage());
             return;
@@ -127,6 +135,9 @@
             mChannel.close();
             return;
         }
+        if (relayed) {
+            write(mServer.id());
+        }
         write(mFormat.openSession(mServer.service(), mWorkspace, mServer.id()));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
@@ -63,6 +63,8 @@
     private int mLimit;
     private int mRefusedLimit;
     private long mRefusedUntil;
+    private Optional<String> mRelay = Optional.empty();
+    private long mRelayUntil = Long.MIN_VALUE / 2;
     private boolean mClosed;
 
     ServerPool(
@@ -186,7 +188,25 @@
         mOpening++;
         mCounters.onConnectionOpening();
         link.onClosed(() -> onClosed(link));
-        link.open(mLoop, mLocalAddress, reply -> onOpened(link, reply));
+        link.open(mLoop, mLocalAddress, relay(), reply -> onOpened(link, reply));
+    }
+
+    private Optional<String> relay() {
+        return mClock.getAsLong() - mRelayUntil < 0 ? mRelay : Optional.empty();
+    }
+
+    /** Lets new connections go through another instance for a while. */
+    void relayThrough(String address, long untilNanos) {
+        boolean isNew = relay().isEmpty();
+        mRelay = Optional.of(address);
+        mRelayUntil = untilNanos;
+        mHealth.onReachable();
+        if (isNew) {
+            for (ServerLink link : List.copyOf(mIdle)) {
+                link.close("the server is not reached directly");
+            }
+        }
+        openForWaiters();
     }
 
     private void onClosed(ServerLink link) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerProbe.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerProbe.java
@@ -49,7 +49,11 @@
                 },
                 timeoutMillis,
                 TimeUnit.MILLISECONDS);
-        link.open(mLoop, mLocalAddress, reply -> onOpened(link, statement, reply, result));
+        link.open(
+                mLoop,
+                mLocalAddress,
+                Optional.empty(),
+                reply -> onOpened(link, statement, reply, result));
         return result;
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -25,6 +26,7 @@
  * @since 0.2
  */
 public final class TrafficServer {
+    private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BACKLOG = 512;
     private static final long CLEANING_MILLIS = 5_000;
     // A confirmation counts from the sending of its request, so the answer needs no further margin.
@@ -32,6 +34,7 @@
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
+    private final LongSupplier mClock;
     private final GroupDirectory mGroups;
     private final WorkspaceLimits mLimits;
     private final TrafficContext mContext;
@@ -57,6 +60,7 @@
             TrafficCounters counters) {
         mLoop = loop;
         mSettings = settings;
+        mClock = clock;
         mGroups = new GroupDirectory(loop, format, settings, clock, counters);
         LimitTerms terms =
                 new LimitTerms(
@@ -134,6 +138,15 @@
         mLoop.execute(() -> callback.accept(mLimits.lend(workspace)));
     }
 
+    /** Sends statements for a server through another instance for a while; for any thread. */
+    public void relay(String service, String server, String address) {
+        long until = mClock.getAsLong() + RELAY_NANOS;
+        mLoop.execute(
+                () ->
+                        Optional.ofNullable(mGroups.group(service).pools().get(server))
+                                .ifPresent(pool -> pool.relayThrough(address, until)));
+    }
+
     /** Runs an action on the traffic thread. */
     public void run(Runnable action) {
         mLoop.execute(action);
