--- /dev/null
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ServerListTest.java
@@ -0,0 +1,59 @@
+package org.plantainferry.gateway.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.gateway.spi.FeedEntry;
+import org.plantainferry.gateway.spi.FeedPage;
+import org.testng.annotations.Test;
+
+/** Guards against servers that vanish because their entries lapsed while the store was away. */
+public final class ServerListTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private static FeedPage<CatalogServer> page(String... ids) {
+        List<FeedEntry<CatalogServer>> entries =
+                List.of(ids).stream().map(id -> entry(id)).toList();
+        return new FeedPage<>(10, entries);
+    }
+
+    private static FeedEntry<CatalogServer> entry(String id) {
+        CatalogServer server =
+                new CatalogServer(id, "s", "10.0.0.1:1", "a", id.equals("p"), false, 3, 0);
+        return new FeedEntry<>(id, 5, Optional.of(server));
+    }
+
+    @Test
+    public void removesAServerAtOnceWhileTheStoreAnswers() {
+        ServerList list = new ServerList();
+        list.onAll(page("p", "r"), 0, 0);
+        FeedEntry<CatalogServer> removed = new FeedEntry<>("r", 11, Optional.empty());
+        assertTrue(list.onChanges(new FeedPage<>(11, List.of(removed)), SECOND));
+        assertTrue(list.catalog().server("r").isEmpty());
+    }
+
+    @Test
+    public void keepsALapsedServerForAWhileAfterTheStoreIsBack() {
+        ServerList list = new ServerList();
+        list.onAll(page("p", "r"), 0, 0);
+        assertFalse(list.onAll(page("r"), 10 * SECOND, 6 * SECOND));
+        assertTrue(list.catalog().primary("s").isPresent());
+        assertFalse(list.expire(11 * SECOND));
+        assertTrue(list.expire(13 * SECOND));
+        assertTrue(list.catalog().primary("s").isEmpty());
+    }
+
+    @Test
+    public void keepsAServerWhoseEntryIsBackInTime() {
+        ServerList list = new ServerList();
+        list.onAll(page("p", "r"), 0, 0);
+        list.onAll(page("r"), 10 * SECOND, 6 * SECOND);
+        list.onChanges(page("p"), 11 * SECOND);
+        assertFalse(list.expire(13 * SECOND));
+        assertEquals(list.catalog().primary("s").map(CatalogServer::id), Optional.of("p"));
+    }
+}
--- /dev/null
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
@@ -0,0 +1,47 @@
+package org.plantainferry.gateway.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import org.plantainferry.api.PlantainferryException;
+import org.testng.annotations.Test;
+
+/** Guards against a start with settings that have mistakes. */
+public final class GatewaySettingsReaderTest {
+    private static final String GOOD =
+            "// A comment.\n"
+                    + "{'instance':'a','failureDomain':'z','localAddress':'127.0.0.1',"
+                    + "'callerListener':'127.0.0.1:1','operatorListener':'127.0.0.1:2',"
+                    + "'peerPort':3,'storeAddress':'127.0.0.1:4','ordersAddress':'127.0.0.1:5',"
+                    + "'drainMillis':6000,'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
+                    + "'rateExcess':0.1,'rateSlack':20}";
+
+    private static GatewaySettings parse(String text) {
+        return GatewaySettingsReader.parse(text.replace('\'', '"'));
+    }
+
+    @Test
+    public void readsSettingsWithComments() {
+        assertEquals(parse(GOOD).peerPort(), 3);
+        assertEquals(parse(GOOD).rateExcess(), 0.1);
+    }
+
+    @Test
+    public void refusesAMissingSetting() {
+        assertThrows(PlantainferryException.class, () -> parse(GOOD.replace("'peerPort':3,", "")));
+    }
+
+    @Test
+    public void refusesAnUnknownSetting() {
+        assertThrows(
+                PlantainferryException.class,
+                () -> parse(GOOD.replace("{'instance'", "{'instanc':1,'instance'")));
+    }
+
+    @Test
+    public void refusesAPortOutOfRange() {
+        assertThrows(
+                PlantainferryException.class,
+                () -> parse(GOOD.replace("'peerPort':3", "'peerPort':70000")));
+    }
+}
