--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -8,18 +8,21 @@
 import java.util.function.Supplier;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.relay.RelayServer;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PlatformConnection;
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.ServerProbe;
+import org.plantainferry.gateway.traffic.TokenLender;
 import org.plantainferry.gateway.traffic.TrafficServer;
 
 /**
  * Joins the parts of control that work together with other instances.
  *
- * <p>Used by the control thread only, except {@link #start} and {@link #suspicion}.
+ * <p>Used by the control thread only, except {@link #start}, {@link #suspicion} and {@link
+ * #lender}.
  *
  * @since 0.2
  */
@@ -28,6 +31,7 @@
     private final Supplier<FleetView> mView;
     private final DemandExchange mDemand;
     private final ReachabilityPoll mPoll;
+    private final TokenExchange mTokens;
     private final PrimaryKeeper mKeeper;
 
     /**
@@ -48,9 +52,12 @@
         PeerChannel peers =
                 new PeerChannel(
                         loop, settings.localAddress(), settings.peerPort(), this::onMessage);
+        new RelayServer(loop, settings.localAddress(), id -> view.get().catalog().server(id))
+                .start(settings.peerPort());
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
         mDemand = new DemandExchange(loop, settings.instance(), traffic, peers, clock);
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
+        mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
         ReplacementTools tools =
                 new ReplacementTools(
                         settings.instance(),
@@ -66,6 +73,7 @@
                         clock,
                         probe,
                         mPoll,
+                        traffic,
                         (service, cause, ended) ->
                                 new PrimaryReplacement(loop, tools, view, service, cause, ended));
     }
@@ -80,10 +88,16 @@
         return mKeeper;
     }
 
+    /** Returns where traffic borrows tokens. */
+    public TokenLender lender() {
+        return mTokens;
+    }
+
     /** Follows a new view. */
     public void onView(FleetView view, Map<String, InstanceEntry> others) {
         mDemand.onOthers(others);
         mPoll.onOthers(others);
+        mTokens.onOthers(others);
         mKeeper.onView(view);
     }
 
@@ -91,7 +105,10 @@
         switch (message.getContentCase()) {
             case DEMAND_REPORT ->
                     mDemand.onReport(message.getInstance(), message.getDemandReport());
-            case REACHABILITY_ANSWER -> mPoll.onAnswer(message.getReachabilityAnswer());
+            case TOKEN_QUESTION -> mTokens.onQuestion(message.getTokenQuestion(), sender);
+            case TOKEN_ANSWER -> mTokens.onAnswer(message.getTokenAnswer());
+            case REACHABILITY_ANSWER ->
+                    mPoll.onAnswer(message.getInstance(), message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
                     mView.get()
                             .catalog()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -25,6 +26,7 @@
  * @since 0.2
  */
 public final class TrafficServer {
+    private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BACKLOG = 512;
     private static final long CLEANING_MILLIS = 5_000;
     // A confirmation counts from the sending of its request, so the answer needs no further margin.
@@ -32,6 +34,7 @@
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
+    private final LongSupplier mClock;
     private final GroupDirectory mGroups;
     private final WorkspaceLimits mLimits;
     private final TrafficContext mContext;
@@ -44,6 +47,7 @@
      * @param view the latest view of control
      * @param clock time that includes suspensions of the machine, in nanoseconds
      * @param suspicion where primaries that do not answer are reported
+     * @param lender asks other instances for tokens
      */
     public TrafficServer(
             EventLoop loop,
@@ -52,16 +56,18 @@
             Supplier<FleetView> view,
             LongSupplier clock,
             Supplier<PrimarySuspicion> suspicion,
+            TokenLender lender,
             TrafficCounters counters) {
         mLoop = loop;
         mSettings = settings;
+        mClock = clock;
         mGroups = new GroupDirectory(loop, format, settings, clock, counters);
         LimitTerms terms =
                 new LimitTerms(
                         settings.rateWindowMillis() / 1_000.0,
                         settings.rateExcess(),
                         settings.rateSlack());
-        mLimits = new WorkspaceLimits(view, terms, System::nanoTime);
+        mLimits = new WorkspaceLimits(view, terms, System::nanoTime, lender);
         AdmissionControl admission =
                 new AdmissionControl(
                         view,
@@ -122,6 +128,30 @@
         mLoop.execute(() -> callback.accept(mLimits.demand()));
     }
 
+    /** Notes what the other instances were told of the demand here; for any thread. */
+    public void onDemandReported(Map<String, Double> demandPerSecond) {
+        mLoop.execute(() -> mLimits.onReported(demandPerSecond));
+    }
+
+    /** Takes a token for another instance; the callback runs on the traffic thread. */
+    public void lend(String workspace, Consumer<Boolean> callback) {
+        mLoop.execute(() -> callback.accept(mLimits.lend(workspace)));
+    }
+
+    /** Sends statements for a server through another instance for a while; for any thread. */
+    public void relay(String service, String server, String address) {
+        long until = mClock.getAsLong() + RELAY_NANOS;
+        mLoop.execute(
+                () ->
+                        Optional.ofNullable(mGroups.group(service).pools().get(server))
+                                .ifPresent(pool -> pool.relayThrough(address, until)));
+    }
+
+    /** Runs an action on the traffic thread. */
+    public void run(Runnable action) {
+        mLoop.execute(action);
+    }
+
     /** Closes sessions without work, now and as soon as the others have none; for any thread. */
     public void closeIdleSessions() {
         mLoop.execute(
