Confirm the configuration through other instances and hedge reads that wait for a connection

While a failure domain is cut off, reads waited up to 700 ms for connections to servers there. Change: instances pass on confirmations, counted back from the question; the margin is 200 ms; a read that waits for a connection or an answer is tried at another server, and a silent server is avoided for 400 ms.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -67,7 +67,7 @@
                         new TrafficCounters(registry));
         mFleet =
                 new FleetController(
-                        controlGroup.next(), settings, platform, mTraffic, mControl::view, clock);
+                        controlGroup.next(), settings, platform, mTraffic, mControl, clock);
         mOperators =
                 new OperatorEndpoint(settings.operatorListener(), this::isReady, registry::scrape);
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
 import org.plantainferry.engine.catalog.ServerCatalog;
+import org.plantainferry.engine.freshness.ConfirmedVersion;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.FeedEntry;
@@ -24,9 +25,9 @@
  * @since 0.2
  */
 public final class ControlPlane {
-    // A withdrawn key must be known within seconds, so the confirmation has to be young.
-    private static final long CONFIGURATION_WAIT_MILLIS = 1_800;
-    private static final long SERVERS_WAIT_MILLIS = 2_500;
+    // A withdrawn key must be known within seconds, also where no other instance answers.
+    private static final long CONFIGURATION_WAIT_MILLIS = 2_800;
+    private static final long SERVERS_WAIT_MILLIS = 3_500;
     private static final long INSTANCES_WAIT_MILLIS = 20_000;
     private static final long LAPSE_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
@@ -42,7 +43,8 @@
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private boolean mCatalogRead;
     private boolean mLapseTimer;
-    private long mConfirmedNanos;
+    private final ConfirmedVersion mConfirmed;
+    private FeedFollower<RoutingConfiguration> mConfigurationFollower;
     private volatile FleetView mView;
     private volatile boolean mReady;
 
@@ -73,22 +75,23 @@
         mPlatform = platform;
         mClock = clock;
         mListener = listener;
-        mConfirmedNanos = clock.getAsLong() - TimeUnit.HOURS.toNanos(1);
-        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, Map.of());
+        mConfirmed = new ConfirmedVersion(clock.getAsLong() - TimeUnit.HOURS.toNanos(1));
+        mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), Map.of());
     }
 
     /** Begins to follow the store; may be called from any thread. */
     public void start() {
         mLoop.execute(
                 () -> {
-                    new FeedFollower<>(
+                    mConfigurationFollower =
+                            new FeedFollower<>(
                                     mLoop,
                                     "configuration",
                                     mPlatform.configuration(),
                                     CONFIGURATION_WAIT_MILLIS,
                                     mClock,
-                                    new ConfigurationListener())
-                            .start();
+                                    new ConfigurationListener());
+                    mConfigurationFollower.start();
                     new FeedFollower<>(
                                     mLoop,
                                     "servers",
@@ -143,19 +146,36 @@
         others.remove(mSettings.instance());
         Map<String, String> domains = new HashMap<>();
         others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
-        mView = new FleetView(mConfiguration, mCatalog, mConfirmedNanos, domains);
+        mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), domains);
         mReady = mConfiguration.version() > 0 && mCatalogRead;
         mListener.onView(mView, others);
     }
 
     /** Publishes a new time of confirmation, which needs no work of the listener. */
-    private void confirm(long sentNanos) {
-        if (sentNanos - mConfirmedNanos <= 0) {
+    private void publishConfirmation() {
+        FleetView view = mView;
+        mView =
+                new FleetView(
+                        view.configuration(),
+                        view.catalog(),
+                        mConfirmed.confirmedNanos(),
+                        view.otherDomains());
+    }
+
+    /**
+     * Takes over the confirmation of another instance; used by the control thread only.
+     *
+     * @param askedNanos when the question was sent
+     * @param version the version in force there
+     * @param ageNanos how old its confirmation was
+     */
+    void onPeerConfirmation(long askedNanos, long version, long ageNanos) {
+        if (mConfirmed.onPeer(askedNanos, version, ageNanos)) {
+            GatewayEvent.CONFIGURATION_BEHIND.log(mConfirmed.version(), version);
+            mConfigurationFollower.readAgain();
             return;
         }
-        mConfirmedNanos = sentNanos;
-        FleetView view = mView;
-        mView = new FleetView(view.configuration(), view.catalog(), sentNanos, view.otherDomains());
+        publishConfirmation();
     }
 
     private void onServersChanged() {
@@ -202,7 +222,8 @@
                 }
             }
             if (readable) {
-                confirm(sentNanos);
+                mConfirmed.onStore(mConfiguration.version(), sentNanos);
+                publishConfirmation();
             }
             if (changed) {
                 publish();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
@@ -19,6 +19,7 @@
 final class FeedFollower<T> {
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long LAST_RETRY_MILLIS = 800;
+    private static final long READ_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Receives what the store holds. */
     interface Listener<T> {
@@ -43,6 +44,9 @@
     private long mRetryMillis = FIRST_RETRY_MILLIS;
     private long mLostSinceNanos;
     private boolean mLost;
+    // Counts the readings of everything; answers that belong to an earlier one are ignored.
+    private long mRound;
+    private long mReadAgainNanos;
 
     /**
      * Creates a follower; {@link #start} begins to read.
@@ -62,19 +66,35 @@
         mWaitMillis = waitMillis;
         mClock = clock;
         mListener = listener;
+        mReadAgainNanos = clock.getAsLong() - READ_AGAIN_NANOS;
     }
 
     void start() {
         readAll();
     }
 
+    /** Reads everything again, because another instance knows more; the old watch is ignored. */
+    void readAgain() {
+        long now = mClock.getAsLong();
+        if (now - mReadAgainNanos >= READ_AGAIN_NANOS) {
+            mReadAgainNanos = now;
+            readAll();
+        }
+    }
+
     private void readAll() {
+        mRound++;
+        long round = mRound;
         long sent = mClock.getAsLong();
         mFeed.readAll()
-                .whenComplete((page, failure) -> mLoop.execute(() -> onAll(page, failure, sent)));
+                .whenComplete(
+                        (page, failure) -> mLoop.execute(() -> onAll(page, failure, sent, round)));
     }
 
-    private void onAll(FeedPage<T> page, Throwable failure, long sentNanos) {
+    private void onAll(FeedPage<T> page, Throwable failure, long sentNanos, long round) {
+        if (round != mRound) {
+            return;
+        }
         if (failure != null) {
             onFailure(failure, sentNanos);
             return;
@@ -86,13 +106,18 @@
     }
 
     private void watch(long revision) {
+        long round = mRound;
         long sent = mClock.getAsLong();
         mFeed.changesAfter(revision, mWaitMillis)
                 .whenComplete(
-                        (page, failure) -> mLoop.execute(() -> onChanges(page, failure, sent)));
+                        (page, failure) ->
+                                mLoop.execute(() -> onChanges(page, failure, sent, round)));
     }
 
-    private void onChanges(FeedPage<T> page, Throwable failure, long sentNanos) {
+    private void onChanges(FeedPage<T> page, Throwable failure, long sentNanos, long round) {
+        if (round != mRound) {
+            return;
+        }
         if (failure != null) {
             onWatchFailure(failure, sentNanos);
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -32,6 +32,7 @@
     private final DemandExchange mDemand;
     private final ReachabilityPoll mPoll;
     private final TokenExchange mTokens;
+    private final ConfirmationExchange mConfirmations;
     private final PrimaryKeeper mKeeper;
 
     /**
@@ -45,9 +46,10 @@
             GatewaySettings settings,
             PlatformConnection platform,
             TrafficServer traffic,
-            Supplier<FleetView> view,
+            ControlPlane control,
             LongSupplier clock) {
         mLoop = loop;
+        Supplier<FleetView> view = control::view;
         mView = view;
         PeerChannel peers =
                 new PeerChannel(
@@ -57,6 +59,9 @@
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
         mDemand = new DemandExchange(loop, settings.instance(), traffic, peers, clock);
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
+        mConfirmations =
+                new ConfirmationExchange(
+                        loop, settings.instance(), control, peers, clock, new Random());
         mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
         ReplacementTools tools =
                 new ReplacementTools(
@@ -81,6 +86,7 @@
     /** Begins the periodic work. */
     public void start() {
         mLoop.execute(mDemand::start);
+        mLoop.execute(mConfirmations::start);
     }
 
     /** Returns where traffic reports primaries that do not answer. */
@@ -98,6 +104,7 @@
         mDemand.onOthers(others);
         mPoll.onOthers(others);
         mTokens.onOthers(others);
+        mConfirmations.onOthers(others);
         mKeeper.onView(view);
     }
 
@@ -107,6 +114,9 @@
                     mDemand.onReport(message.getInstance(), message.getDemandReport());
             case TOKEN_QUESTION -> mTokens.onQuestion(message.getTokenQuestion(), sender);
             case TOKEN_ANSWER -> mTokens.onAnswer(message.getTokenAnswer());
+            case CONFIRMATION_QUESTION ->
+                    mConfirmations.onQuestion(message.getConfirmationQuestion(), sender);
+            case CONFIRMATION_ANSWER -> mConfirmations.onAnswer(message.getConfirmationAnswer());
             case REACHABILITY_ANSWER ->
                     mPoll.onAnswer(message.getInstance(), message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -35,6 +35,8 @@
     SERVER_CHANGED(6105, Logger.Level.INFO, "server id=%s service=%s state=%s"),
     /** The list of instances changed. */
     INSTANCES_CHANGED(6106, Logger.Level.INFO, "instances others=%d"),
+    /** Another instance knows a newer configuration. */
+    CONFIGURATION_BEHIND(6107, Logger.Level.WARN, "configuration-behind version=%d other=%d"),
     /** A primary is suspected. */
     PRIMARY_SUSPECTED(6201, Logger.Level.WARN, "primary-suspected service=%s server=%s reason=%s"),
     /** A server refused as a replica although it was taken for the primary. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -129,6 +129,8 @@
             mBinder.later(ALL_REFUSED_PAUSE_MILLIS, this::bindRead);
             return;
         }
+        // A second attempt for the same statement must not wait for the same server.
+        mExcluded.add(pool.get().server().id());
         acquire(pool.get(), required);
     }
 
@@ -159,7 +161,6 @@
             mBinder.later(PRIMARY_POLL_MILLIS, this::bindPrimary);
             return;
         }
-        mExcluded.add(pool.server().id());
         bindRead();
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
@@ -36,7 +36,7 @@
  * next answer could then belong to another statement. Used by the traffic thread only.
  */
 final class ServerLink extends SimpleChannelInboundHandler<String> {
-    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int OPEN_TIMEOUT_MILLIS = 1_000;
 
     private final WireFormat mFormat;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -17,6 +17,7 @@
 final class SingleStatement {
     private static final int MOST_ATTEMPTS = 6;
     private static final long RETRY_AFTER_MILLIS = 150;
+    private static final long SILENCE_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final Binder mBinder;
     private final OperationContext mContext;
@@ -28,6 +29,7 @@
     private final BindPurpose mPurpose;
     private final Set<String> mExcluded = new HashSet<>();
     private BoundLink mSentTo;
+    private long mSentNanos;
     private int mAttempts;
     private int mPending;
     private int mUnanswered;
@@ -115,6 +117,7 @@
         mSentTo = bound;
         mUnanswered++;
         long sent = mBinder.now();
+        mSentNanos = sent;
         bound.pool().health().onSent();
         mBinder.watchPrimary(bound, mPurpose);
         bound.link()
@@ -164,7 +167,6 @@
         if (mayRepeat && mAttempts < MOST_ATTEMPTS && now - mDeadlineNanos < 0) {
             GatewayEvent.REQUEST_RETRIED.log(
                     mRequestId, bound.pool().server().id(), mAttempts, mLastReason);
-            mExcluded.add(bound.pool().server().id());
             attempt();
             return;
         }
@@ -202,17 +204,25 @@
     }
 
     private void hedge() {
-        boolean isWaitingForServer = mUnanswered == 1 && mPending == 1;
-        if (mFinished || mHedged || !isWaitingForServer || mPurpose != BindPurpose.READ) {
+        if (mFinished || mHedged || mPending != 1 || mPurpose != BindPurpose.READ) {
             return;
         }
         mHedged = true;
-        GatewayEvent.REQUEST_RETRIED.log(
-                mRequestId, mSentTo.pool().server().id(), mAttempts, "no answer yet");
-        mExcluded.add(mSentTo.pool().server().id());
+        if (mUnanswered == 1) {
+            avoidSilentServer();
+        }
         attempt();
     }
 
+    private void avoidSilentServer() {
+        ServerPool pool = mSentTo.pool();
+        GatewayEvent.REQUEST_RETRIED.log(
+                mRequestId, pool.server().id(), mAttempts, "no answer yet");
+        if (!pool.health().hasAnsweredSince(mSentNanos)) {
+            pool.health().avoid(mBinder.now(), SILENCE_AVOIDANCE_NANOS);
+        }
+    }
+
     private void onDeadline() {
         if (mFinished) {
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -29,8 +29,9 @@
     private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BACKLOG = 512;
     private static final long CLEANING_MILLIS = 5_000;
-    // A confirmation counts from the sending of its request, so the answer needs no further margin.
-    private static final long CONFIRMATION_MARGIN_MILLIS = 700;
+    // A confirmation counts from the sending of its request, and a caller's request was sent before
+    // it is checked, so only differences between clocks need a margin.
+    private static final long CONFIRMATION_MARGIN_MILLIS = 200;
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
