--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
@@ -24,6 +24,8 @@
     // What nobody asks for is divided partly evenly, because few callers ask unevenly over time.
     private static final double UNUSED_PART = 0.5;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private record Report(double demandPerSecond, long receivedNanos) {}
 
     private final Map<String, Report> mReports = new HashMap<>();
@@ -58,4 +60,22 @@
         double total = demand + idle * (others.size() + 1);
         return total <= 0 ? 0 : (ownDemand + idle) / total;
     }
+
+    /** Describes the reports that count, for logs. */
+    public String describe(Set<String> others, long nowNanos) {
+        double demand = 0;
+        int unknown = 0;
+        long oldest = 0;
+        for (String other : others) {
+            Report report = mReports.get(other);
+            if (report == null) {
+                unknown++;
+                continue;
+            }
+            demand += report.demandPerSecond();
+            oldest = Math.max(oldest, nowNanos - report.receivedNanos());
+        }
+        return String.format(
+                "%.2f unknown=%d oldest-ms=%d", demand, unknown, oldest / NANOS_PER_MILLI);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -59,7 +59,8 @@
     REQUEST_REFUSED(
             6302,
             Logger.Level.INFO,
-            "request-refused request=%s workspace=%s code=%s reason=\"%s\" configuration=%d"),
+            "request-refused request=%s workspace=%s code=%s reason=\"%s\" configuration=%d"
+                    + " limit=\"%s\""),
     /** A server refused or failed a request, or its answer is missing. */
     REQUEST_FAILED(
             6303,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/AdmissionControl.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/AdmissionControl.java
@@ -90,6 +90,11 @@
                 FailureCode.BUSY, "the workspace has used up its rate and burst", retryAfterMillis);
     }
 
+    /** Describes the inputs of a decision about a workspace, for logs. */
+    String describeLimit(String workspace) {
+        return mLimits.describe(workspace);
+    }
+
     RoutingConfiguration configuration() {
         return mView.get().configuration();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -212,12 +212,14 @@
     }
 
     private void refuse(CallerMessage.Request request, Admission.Refused refused) {
+        String workspace = mTraffic.admission().configuration().workspaceOf(mKey).orElse("unknown");
         GatewayEvent.REQUEST_REFUSED.log(
                 request.id(),
-                mTraffic.admission().configuration().workspaceOf(mKey).orElse("unknown"),
+                workspace,
                 refused.code(),
                 refused.reason(),
-                mTraffic.admission().configuration().version());
+                mTraffic.admission().configuration().version(),
+                mTraffic.admission().describeLimit(workspace));
         mTraffic.counters().onOperation("refused", refused.code().name(), 0);
         fail(refused.code(), reason(refused));
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
@@ -29,6 +29,7 @@
         private final DemandShares mShares = new DemandShares();
         private final ShareBucket mBucket;
         private double mReportedDemand;
+        private double mPart;
         private long mResizedNanos;
         private boolean mResized;
         private long mAskAgainNanos;
@@ -82,6 +83,23 @@
                 });
     }
 
+    /** Describes what decides about a workspace here, for logs. */
+    String describe(String workspace) {
+        Share share = mByWorkspace.get(workspace);
+        WorkspaceLimit limit = mView.get().configuration().limits().get(workspace);
+        if (share == null || limit == null) {
+            return "no limit";
+        }
+        long now = mSteadyClock.getAsLong();
+        return String.format(
+                "rate=%.1f part=%.4f demand=%.2f reported=%.2f others=%s",
+                limit.ratePerSecond(),
+                share.mPart,
+                share.mDemand.perSecond(now),
+                share.mReportedDemand,
+                share.mShares.describe(mView.get().otherInstances(), now));
+    }
+
     /** Takes a token for an operation of another instance; returns whether there was one. */
     boolean lend(String workspace) {
         return mView.get().configuration().limits().containsKey(workspace)
@@ -120,6 +138,7 @@
         double part =
                 share.mShares.share(
                         view.otherInstances(), share.mReportedDemand, limit.ratePerSecond(), now);
+        share.mPart = part;
         int instances = view.otherInstances().size() + 1;
         share.mBucket.resize(
                 limit.ratePerSecond() * part,
