--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
@@ -3,15 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import org.plantainferry.api.Preconditions;
 
 /**
- * Divides the limit of one workspace among the instances in proportion to their demand.
+ * Divides the limits of workspaces among the instances in proportion to their demand.
  *
  * <p>All instances that have heard the same reports compute shares that add up to one. An instance
  * that has fallen silent keeps its last share for a while, because it may serve on behind a
- * partition. An instance that is registered and was never heard counts with an even share. Used by
- * one thread.
+ * partition. An instance that is registered and was never heard counts with an even share. A report
+ * speaks of all workspaces: one that it does not name has no demand. Used by one thread.
  *
  * @since 0.2
  */
@@ -19,21 +18,23 @@
     /** How long the last report of a silent instance counts. */
     public static final long REPORT_LIFETIME_NANOS = 12_000_000_000L;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     // Each instance keeps a part of the limit without demand, so that a first caller is served.
     private static final double IDLE_PART = 0.15;
     // What nobody asks for is divided partly evenly, because few callers ask unevenly over time.
     private static final double UNUSED_PART = 0.5;
 
-    private static final long NANOS_PER_MILLI = 1_000_000L;
-
-    private record Report(double demandPerSecond, long receivedNanos) {}
+    private record Report(Map<String, Double> demandPerSecond, long receivedNanos) {
+        double of(String workspace) {
+            return demandPerSecond.getOrDefault(workspace, 0.0);
+        }
+    }
 
     private final Map<String, Report> mReports = new HashMap<>();
 
-    /** Records the demand that another instance reported. */
-    public void report(String instance, double demandPerSecond, long nowNanos) {
-        Preconditions.condition(demandPerSecond >= 0, "demandPerSecond must not be negative");
-        mReports.put(instance, new Report(demandPerSecond, nowNanos));
+    /** Records the demand that another instance reported, by workspace. */
+    public void report(String instance, Map<String, Double> demandPerSecond, long nowNanos) {
+        mReports.put(instance, new Report(Map.copyOf(demandPerSecond), nowNanos));
     }
 
     /**
@@ -44,16 +45,21 @@
      *     that grew before they know of it would make all shares exceed the limit
      * @param ratePerSecond the limit of the workspace
      */
-    public double share(Set<String> others, double ownDemand, double ratePerSecond, long nowNanos) {
+    public double share(
+            String workspace,
+            Set<String> others,
+            double ownDemand,
+            double ratePerSecond,
+            long nowNanos) {
         mReports.values().removeIf(each -> nowNanos - each.receivedNanos() > REPORT_LIFETIME_NANOS);
         double even = ratePerSecond / (others.size() + 1);
         double demand = ownDemand;
         for (String other : others) {
             Report report = mReports.get(other);
-            demand += report == null ? even : report.demandPerSecond();
+            demand += report == null ? even : report.of(workspace);
         }
         for (Map.Entry<String, Report> each : mReports.entrySet()) {
-            demand += others.contains(each.getKey()) ? 0 : each.getValue().demandPerSecond();
+            demand += others.contains(each.getKey()) ? 0 : each.getValue().of(workspace);
         }
         double unused = Math.max(0, ratePerSecond - demand) / (others.size() + 1);
         double idle = Math.max(even * IDLE_PART, unused * UNUSED_PART);
@@ -61,8 +67,8 @@
         return total <= 0 ? 0 : (ownDemand + idle) / total;
     }
 
-    /** Describes the reports that count, for logs. */
-    public String describe(Set<String> others, long nowNanos) {
+    /** Describes the reports that count for a workspace, for logs. */
+    public String describe(String workspace, Set<String> others, long nowNanos) {
         double demand = 0;
         int unknown = 0;
         long oldest = 0;
@@ -72,7 +78,7 @@
                 unknown++;
                 continue;
             }
-            demand += report.demandPerSecond();
+            demand += report.of(workspace);
             oldest = Math.max(oldest, nowNanos - report.receivedNanos());
         }
         return String.format(
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
@@ -33,10 +33,10 @@
             DemandShares shares = new DemandShares();
             for (int other = 0; other < demand.length; other++) {
                 if (other != self) {
-                    shares.report("i" + other, demand[other], 0);
+                    shares.report("i" + other, Map.of("w", demand[other]), 0);
                 }
             }
-            sum += shares.share(others(demand.length, self), demand[self], rate, SECOND);
+            sum += shares.share("w", others(demand.length, self), demand[self], rate, SECOND);
         }
         return sum;
     }
@@ -49,24 +49,33 @@
     @Test
     public void givesAnInstanceWithMostOfTheDemandMostOfTheLimit() {
         DemandShares shares = new DemandShares();
-        shares.report("i1", 1, 0);
-        shares.report("i2", 1, 0);
-        assertTrue(shares.share(others(3, 0), 98, 100, SECOND) > 0.8);
+        shares.report("i1", Map.of("w", 1.0), 0);
+        shares.report("i2", Map.of("w", 1.0), 0);
+        assertTrue(shares.share("w", others(3, 0), 98, 100, SECOND) > 0.8);
     }
 
     @Test
     public void leavesAnIdleInstanceSomethingForItsFirstCaller() {
         DemandShares shares = new DemandShares();
-        shares.report("i1", 100, 0);
-        assertTrue(shares.share(others(2, 0), 0, 100, SECOND) > 0.03);
+        shares.report("i1", Map.of("w", 100.0), 0);
+        assertTrue(shares.share("w", others(2, 0), 0, 100, SECOND) > 0.03);
+    }
+
+    @Test
+    public void takesAReportThatDoesNotNameAWorkspaceForNoDemand() {
+        DemandShares shares = new DemandShares();
+        for (int index = 1; index < 15; index++) {
+            shares.report("i" + index, Map.of("another", 3.0), 0);
+        }
+        assertTrue(shares.share("w", others(15, 0), 5, 40, SECOND) > 0.15);
     }
 
     @Test
     public void countsASilentInstanceUntilItsReportIsOld() {
         DemandShares shares = new DemandShares();
-        shares.report("i1", 50, 0);
-        double soon = shares.share(Set.of(), 50, 100, SECOND);
-        double late = shares.share(Set.of(), 50, 100, DemandShares.REPORT_LIFETIME_NANOS + 1);
+        shares.report("i1", Map.of("w", 50.0), 0);
+        double soon = shares.share("w", Set.of(), 50, 100, SECOND);
+        double late = shares.share("w", Set.of(), 50, 100, DemandShares.REPORT_LIFETIME_NANOS + 1);
         assertTrue(soon < 0.6);
         assertEquals(late, 1, TOLERANCE);
     }
@@ -168,7 +177,7 @@
                 mReported[sender] = demand;
                 for (int receiver = 0; receiver < mInstances; receiver++) {
                     if (receiver != sender) {
-                        mShares.get(receiver).report("i" + sender, demand, now());
+                        mShares.get(receiver).report("i" + sender, Map.of("w", demand), now());
                     }
                 }
             }
@@ -189,7 +198,12 @@
         private boolean tryTake(int instance) {
             double share =
                     mShares.get(instance)
-                            .share(others(mInstances, instance), mReported[instance], mRate, now());
+                            .share(
+                                    "w",
+                                    others(mInstances, instance),
+                                    mReported[instance],
+                                    mRate,
+                                    now());
             WorkspaceLimit limit = new WorkspaceLimit(mRate, mBurst);
             mBuckets.get(instance)
                     .resize(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
@@ -26,7 +26,6 @@
     /** Holds what is known of one workspace. */
     private static final class Share {
         private final DemandRate mDemand;
-        private final DemandShares mShares = new DemandShares();
         private final ShareBucket mBucket;
         private double mReportedDemand;
         private double mPart;
@@ -50,6 +49,7 @@
     private final LimitTerms mTerms;
     private final LongSupplier mSteadyClock;
     private final TokenLender mLender;
+    private final DemandShares mShares = new DemandShares();
     private final Map<String, Share> mByWorkspace = new HashMap<>();
 
     WorkspaceLimits(
@@ -97,7 +97,7 @@
                 share.mPart,
                 share.mDemand.perSecond(now),
                 share.mReportedDemand,
-                share.mShares.describe(mView.get().otherInstances(), now));
+                mShares.describe(workspace, mView.get().otherInstances(), now));
     }
 
     /** Takes a token for an operation of another instance; returns whether there was one. */
@@ -121,14 +121,14 @@
         if (isOwnDemand) {
             share.mDemand.count(now);
         }
-        resize(share, limit, now);
+        resize(workspace, share, limit, now);
         if (share.mBucket.tryTake(now)) {
             return Optional.empty();
         }
         return Optional.of(share.mBucket.millisUntilToken(now, LONGEST_RETRY_MILLIS));
     }
 
-    private void resize(Share share, WorkspaceLimit limit, long now) {
+    private void resize(String workspace, Share share, WorkspaceLimit limit, long now) {
         if (share.mResized && now - share.mResizedNanos < RESIZE_NANOS) {
             return;
         }
@@ -136,8 +136,12 @@
         share.mResizedNanos = now;
         FleetView view = mView.get();
         double part =
-                share.mShares.share(
-                        view.otherInstances(), share.mReportedDemand, limit.ratePerSecond(), now);
+                mShares.share(
+                        workspace,
+                        view.otherInstances(),
+                        share.mReportedDemand,
+                        limit.ratePerSecond(),
+                        now);
         share.mPart = part;
         int instances = view.otherInstances().size() + 1;
         share.mBucket.resize(
@@ -146,16 +150,9 @@
                 now);
     }
 
-    /** Records the demand that another instance reported, and no demand where it names none. */
+    /** Records the demand that another instance reported. */
     void onReport(String instance, Map<String, Double> demandPerSecond) {
-        long now = mSteadyClock.getAsLong();
-        demandPerSecond
-                .keySet()
-                .forEach(name -> mByWorkspace.computeIfAbsent(name, key -> new Share(now)));
-        mByWorkspace.forEach(
-                (workspace, share) ->
-                        share.mShares.report(
-                                instance, demandPerSecond.getOrDefault(workspace, 0.0), now));
+        mShares.report(instance, demandPerSecond, mSteadyClock.getAsLong());
     }
 
     /** Returns the demand here, for the other instances. */
