--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -23,7 +23,7 @@
  */
 final class ConfirmationExchange {
     private static final long CHECK_MILLIS = 350;
-    private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+    private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EventLoop mLoop;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -26,7 +26,7 @@
  */
 public final class ControlPlane {
     // A withdrawn key must be known within seconds, also where no other instance answers.
-    private static final long CONFIGURATION_WAIT_MILLIS = 2_800;
+    private static final long CONFIGURATION_WAIT_MILLIS = 2_400;
     private static final long SERVERS_WAIT_MILLIS = 3_500;
     private static final long INSTANCES_WAIT_MILLIS = 20_000;
     private static final long LAPSE_POLL_MILLIS = 200;
@@ -208,7 +208,7 @@
         }
 
         @Override
-        public void onChanges(FeedPage<RoutingConfiguration> page, long sentNanos) {
+        public void onChanges(FeedPage<RoutingConfiguration> page, long coveredNanos) {
             boolean changed = false;
             boolean readable = true;
             for (FeedEntry<RoutingConfiguration> entry : page.entries()) {
@@ -222,7 +222,7 @@
                 }
             }
             if (readable) {
-                mConfirmed.onStore(mConfiguration.version(), sentNanos);
+                mConfirmed.onStore(mConfiguration.version(), coveredNanos);
                 publishConfirmation();
             }
             if (changed) {
@@ -245,7 +245,7 @@
         }
 
         @Override
-        public void onChanges(FeedPage<CatalogServer> page, long sentNanos) {
+        public void onChanges(FeedPage<CatalogServer> page, long coveredNanos) {
             if (mServers.onChanges(page, mClock.getAsLong())) {
                 onServersChanged();
             }
@@ -262,7 +262,7 @@
         }
 
         @Override
-        public void onChanges(FeedPage<InstanceEntry> page, long sentNanos) {
+        public void onChanges(FeedPage<InstanceEntry> page, long coveredNanos) {
             if (!page.entries().isEmpty()) {
                 apply(page);
             }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
@@ -1,10 +1,12 @@
 package org.plantainferry.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.engine.freshness.WatchCoverage;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.Feed;
 import org.plantainferry.gateway.spi.FeedPage;
@@ -31,8 +33,12 @@
          */
         void onAll(FeedPage<T> page, long sentNanos, long awayNanos);
 
-        /** Receives changes; the page is empty when there was none. */
-        void onChanges(FeedPage<T> page, long sentNanos);
+        /**
+         * Receives changes; the page is empty when there was none.
+         *
+         * @param coveredNanos the time up to which no further change exists
+         */
+        void onChanges(FeedPage<T> page, long coveredNanos);
     }
 
     private final EventLoop mLoop;
@@ -43,6 +49,7 @@
     private final Listener<T> mListener;
     private long mRetryMillis = FIRST_RETRY_MILLIS;
     private long mLostSinceNanos;
+    private final Random mRandom = new Random();
     private boolean mLost;
     // Counts the readings of everything; answers that belong to an earlier one are ignored.
     private long mRound;
@@ -51,7 +58,7 @@
     /**
      * Creates a follower; {@link #start} begins to read.
      *
-     * @param waitMillis how long one watch may wait
+     * @param waitMillis how long one watch may wait, at most
      */
     FeedFollower(
             EventLoop loop,
@@ -107,14 +114,18 @@
 
     private void watch(long revision) {
         long round = mRound;
+        // Watches of different lengths keep instances that started together out of step.
+        long waitMillis = mWaitMillis - mRandom.nextInt((int) (mWaitMillis / 3));
         long sent = mClock.getAsLong();
-        mFeed.changesAfter(revision, mWaitMillis)
+        mFeed.changesAfter(revision, waitMillis)
                 .whenComplete(
                         (page, failure) ->
-                                mLoop.execute(() -> onChanges(page, failure, sent, round)));
+                                mLoop.execute(
+                                        () -> onChanges(page, failure, sent, waitMillis, round)));
     }
 
-    private void onChanges(FeedPage<T> page, Throwable failure, long sentNanos, long round) {
+    private void onChanges(
+            FeedPage<T> page, Throwable failure, long sentNanos, long waitMillis, long round) {
         if (round != mRound) {
             return;
         }
@@ -122,7 +133,13 @@
             onWatchFailure(failure, sentNanos);
             return;
         }
-        mListener.onChanges(page, sentNanos);
+        long covered =
+                WatchCoverage.coveredNanos(
+                        sentNanos,
+                        mClock.getAsLong(),
+                        TimeUnit.MILLISECONDS.toNanos(waitMillis),
+                        page.entries().isEmpty());
+        mListener.onChanges(page, covered);
         watch(page.revision());
     }
 
