--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/PositionSamples.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/PositionSamples.java
@@ -67,9 +67,4 @@
     public Optional<LogPosition> newest() {
         return Optional.ofNullable(mSamples.peekLast()).map(Sample::position);
     }
-
-    /** Returns the time that the newest sample covers. */
-    public Optional<Long> newestNanos() {
-        return Optional.ofNullable(mSamples.peekLast()).map(Sample::sentNanos);
-    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
@@ -1,6 +1,5 @@
 package org.plantainferry.engine.placement;
 
-import java.util.Optional;
 import org.plantainferry.api.session.LogPosition;
 
 /**
@@ -98,11 +97,6 @@
         return nowNanos - mPositionNanos < youngerNanos && mPosition.compareTo(required) < 0;
     }
 
-    /** Returns the last known position. */
-    public Optional<LogPosition> position() {
-        return mPosition.equals(LogPosition.START) ? Optional.empty() : Optional.of(mPosition);
-    }
-
     /** Notes that the server refused as a replica, although it was taken for the primary. */
     public void onDeposed(long nowNanos) {
         mDeposed = true;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/InstanceRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/InstanceRegistry.java
@@ -10,7 +10,4 @@
 public interface InstanceRegistry extends Feed<InstanceEntry> {
     /** Writes the entry of this instance; an equal entry is left as it is. */
     CompletableFuture<Void> register(InstanceEntry entry);
-
-    /** Removes the entry of an instance that is gone. */
-    CompletableFuture<Void> remove(String name);
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/statement/Statement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/statement/Statement.java
@@ -41,12 +41,6 @@
     /** Asks a server for its state; never sent by callers. */
     record Status() implements Statement {}
 
-    /** Stops a replica from receiving the log of older terms; never sent by callers. */
-    record Pause(long term) implements Statement {}
-
-    /** Lets a paused replica receive again; never sent by callers. */
-    record Resume() implements Statement {}
-
     /** Makes the primary of an older term a replica; never sent by callers. */
     record StepDown(long term) implements Statement {}
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -80,10 +80,6 @@
         return true;
     }
 
-    boolean isSampling() {
-        return mSampling;
-    }
-
     void beginSample() {
         mSampling = true;
     }
