Rank pairs of names by one rendezvous score, and plan a group in one pass

Cause: PrimaryKeeper, ConnectionPlan and RendezvousHash each ranked pairs of names with a hash of their own, and ConnectionPlan asked for the replica of every instance twice for each view, which is quadratic in a large fleet. Change: RendezvousScore (FNV-1a and one step of SplitMix64) serves all three; ConnectionPlan computes all replicas once and returns limits and the own replica together. PrimaryReplacement asks in one place whether a server leads and gets the view from its tools only. A new configuration is published once instead of twice.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousHash.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousHash.java
@@ -1,27 +1,19 @@
 package org.plantainferry.engine.membership;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.commons.rng.core.source64.SplitMix64;
-import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.FailureDomain;
 import org.plantainferry.api.InstanceId;
-import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.api.Preconditions;
 
 /**
  * Ranks the live instances for a key by rendezvous hashing.
  *
  * <p>One object belongs to one membership snapshot and keeps the rankings it was asked for, so
- * 1,300 services cost one pass each per membership change. Names are hashed once with SHA-256; the
- * two hashes of a pair are mixed by one step of SplitMix64. Leaving instances are ranked only when
- * all are leaving. Not safe for use by several threads.
+ * 1,300 services cost one pass each per membership change. Names are hashed once. Leaving instances
+ * are ranked only when all are leaving. Not safe for use by several threads.
  *
  * @since 0.1
  */
@@ -39,7 +31,7 @@
         mMembers = staying.isEmpty() ? snapshot.members() : staying;
         mHashes = new long[mMembers.size()];
         for (int i = 0; i < mHashes.length; i++) {
-            mHashes[i] = hash(mMembers.get(i).id().value());
+            mHashes[i] = RendezvousScore.hash(mMembers.get(i).id().value());
         }
     }
 
@@ -63,10 +55,10 @@
 
     private List<InstanceId> compute(Query query) {
         Preconditions.condition(query.count() >= 0, "count must not be negative");
-        long keyHash = hash(query.key());
+        long keyHash = RendezvousScore.hash(query.key());
         long[] scores = new long[mHashes.length];
         for (int i = 0; i < scores.length; i++) {
-            scores[i] = new SplitMix64(mHashes[i] ^ keyHash).nextLong();
+            scores[i] = RendezvousScore.score(mHashes[i], keyHash);
         }
         List<Integer> ranked = new ArrayList<>();
         if (query.acrossDomains()) {
@@ -105,14 +97,5 @@
         }
     }
 
-    private static long hash(String text) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return ByteBuffer.wrap(digest.digest(text.getBytes(StandardCharsets.UTF_8))).getLong();
-        } catch (NoSuchAlgorithmException e) {
-            throw new PlantainferryException(ErrorCode.INTERNAL, "SHA-256 is not available", e);
-        }
-    }
-
     private record Query(String key, int count, boolean acrossDomains) {}
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ConnectionPlan.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ConnectionPlan.java
@@ -1,13 +1,13 @@
 package org.plantainferry.engine.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.membership.RendezvousScore;
 
 /**
  * Divides the connections that the servers of a group take among the instances.
@@ -24,7 +24,10 @@
     private static final int MOST_CONNECTIONS = 12;
 
     private final String mInstance;
-    private final Map<String, String> mDomains;
+    private final Map<String, Placed> mInstances = new HashMap<>();
+
+    /** Holds what decides about the replica of an instance. */
+    private record Placed(String failureDomain, long hash) {}
 
     /**
      * Creates the plan of an instance.
@@ -34,60 +37,68 @@
     public ConnectionPlan(String instance, Map<String, String> domains) {
         mInstance = Preconditions.notNull(instance, "instance");
         Preconditions.condition(domains.containsKey(instance), "domains must name the instance");
-        mDomains = Map.copyOf(domains);
+        domains.forEach(
+                (name, domain) ->
+                        mInstances.put(name, new Placed(domain, RendezvousScore.hash(name))));
     }
 
     /**
-     * Returns the replica to which an instance sends its reads; empty when there is none.
+     * Returns how this instance uses the servers of a group.
      *
-     * @param servers the servers of one group
+     * @param servers the servers of the group
      * @param primary the id of its primary; empty when unknown
-     */
-    public Optional<CatalogServer> home(
-            String instance, Collection<CatalogServer> servers, Optional<String> primary) {
-        String domain = mDomains.getOrDefault(instance, "");
-        List<CatalogServer> replicas =
-                servers.stream()
-                        .filter(server -> !server.draining())
-                        .filter(server -> !primary.equals(Optional.of(server.id())))
-                        .toList();
-        Comparator<CatalogServer> byDomain =
-                Comparator.comparing(server -> !server.failureDomain().equals(domain));
-        return replicas.stream()
-                .min(
-                        byDomain.thenComparing(server -> place(instance, server.id()))
-                                .thenComparing(CatalogServer::id));
-    }
-
-    private static int place(String instance, String server) {
-        // Mixes the bits, because hash codes of similar names are close to each other.
-        int hash = (instance + "/" + server).hashCode() * 0x9E3779B1;
-        return hash ^ (hash >>> 15);
-    }
-
-    /**
-     * Returns how many connections this instance may open to each server of a group.
-     *
      * @param maximum the connections that one server takes from all callers together
-     * @return the limits by server id, at least 1 each
      */
-    public Map<String, Integer> limits(
+    public GroupConnections plan(
             Collection<CatalogServer> servers, Optional<String> primary, int maximum) {
+        Map<String, String> homes = homes(servers, primary);
         Map<String, Integer> users = new HashMap<>();
-        for (String instance : mDomains.keySet()) {
-            home(instance, servers, primary)
-                    .ifPresent(server -> users.merge(server.id(), 1, Integer::sum));
-        }
-        Optional<String> home = home(mInstance, servers, primary).map(CatalogServer::id);
+        homes.values().forEach(home -> users.merge(home, 1, Integer::sum));
+        Optional<String> home = Optional.ofNullable(homes.get(mInstance));
         int usable = (int) (maximum * (1 - RESERVED_PART));
         Map<String, Integer> limits = new HashMap<>();
         for (CatalogServer server : servers) {
             boolean isPrimary = primary.equals(Optional.of(server.id()));
-            int sharers = isPrimary ? mDomains.size() : users.getOrDefault(server.id(), 0);
             boolean isMain = isPrimary || home.equals(Optional.of(server.id()));
+            int sharers = isPrimary ? mInstances.size() : users.getOrDefault(server.id(), 0);
             int limit = isMain ? usable / Math.max(1, sharers) : 1;
             limits.put(server.id(), Math.max(1, Math.min(MOST_CONNECTIONS, limit)));
         }
-        return limits;
+        return new GroupConnections(limits, home);
+    }
+
+    /** Returns the replica of each instance; an instance is missing when there is none. */
+    private Map<String, String> homes(Collection<CatalogServer> servers, Optional<String> primary) {
+        List<Replica> replicas =
+                servers.stream()
+                        .filter(server -> !server.draining())
+                        .filter(server -> !primary.equals(Optional.of(server.id())))
+                        .map(server -> new Replica(server, RendezvousScore.hash(server.id())))
+                        .toList();
+        Map<String, String> homes = new HashMap<>();
+        mInstances.forEach(
+                (name, instance) -> {
+                    Replica best = null;
+                    for (Replica replica : replicas) {
+                        best = best == null || replica.isBetter(best, instance) ? replica : best;
+                    }
+                    if (best != null) {
+                        homes.put(name, best.server().id());
+                    }
+                });
+        return homes;
+    }
+
+    /** Holds a replica with the hash of its id. */
+    private record Replica(CatalogServer server, long hash) {
+        boolean isBetter(Replica other, Placed instance) {
+            boolean isNear = server.failureDomain().equals(instance.failureDomain());
+            boolean isOtherNear = other.server.failureDomain().equals(instance.failureDomain());
+            if (isNear != isOtherNear) {
+                return isNear;
+            }
+            return RendezvousScore.score(instance.hash(), hash)
+                    > RendezvousScore.score(instance.hash(), other.hash);
+        }
     }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ConnectionPlanTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ConnectionPlanTest.java
@@ -30,9 +30,7 @@
     @Test
     public void sendsReadsToTheReplicaOfTheOwnFailureDomain() {
         ConnectionPlan plan = new ConnectionPlan("i8", domains());
-        assertEquals(
-                plan.home("i8", SERVERS, Optional.of("p")).map(CatalogServer::id),
-                Optional.of("r1"));
+        assertEquals(plan.plan(SERVERS, Optional.of("p"), 47).home(), Optional.of("r1"));
     }
 
     @Test
@@ -40,7 +38,8 @@
         Map<String, Integer> sum = new HashMap<>();
         for (String instance : domains().keySet()) {
             new ConnectionPlan(instance, domains())
-                    .limits(SERVERS, Optional.of("p"), 47)
+                    .plan(SERVERS, Optional.of("p"), 47)
+                    .limits()
                     .forEach((server, limit) -> sum.merge(server, limit, Integer::sum));
         }
         sum.forEach((server, limit) -> assertTrue(limit <= 55, server + " " + limit));
@@ -54,7 +53,8 @@
             many.put("i" + index, "a");
         }
         new ConnectionPlan("i3", many)
-                .limits(SERVERS, Optional.of("p"), 97)
+                .plan(SERVERS, Optional.of("p"), 97)
+                .limits()
                 .values()
                 .forEach(limit -> assertEquals((int) limit, 1));
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -223,10 +223,11 @@
             }
             if (readable) {
                 mConfirmed.onStore(mConfiguration.version(), coveredNanos);
-                publishConfirmation();
             }
             if (changed) {
                 publish();
+            } else if (readable) {
+                publishConfirmation();
             }
         }
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.ServerCatalog;
+import org.plantainferry.engine.membership.RendezvousScore;
 import org.plantainferry.engine.promotion.SuspicionVote;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.InstanceEntry;
@@ -106,22 +107,16 @@
 
     /** Returns the place of this instance in the order for a group; 0 acts first. */
     private int rank(String service) {
-        int own = place(mInstance, service);
+        long group = RendezvousScore.hash(service);
+        long own = RendezvousScore.score(RendezvousScore.hash(mInstance), group);
         int before = 0;
         for (String other : mOthers) {
-            int place = place(other, service);
-            boolean isBefore = place < own || (place == own && other.compareTo(mInstance) < 0);
-            before += isBefore ? 1 : 0;
+            long score = RendezvousScore.score(RendezvousScore.hash(other), group);
+            before += score > own ? 1 : 0;
         }
         return Math.min(LAST_RANK, before);
     }
 
-    private static int place(String instance, String service) {
-        // Mixes the bits, because hash codes of similar names are close to each other.
-        int hash = (instance + "/" + service).hashCode() * 0x9E3779B1;
-        return hash ^ (hash >>> 15);
-    }
-
     private void replace(String service, ReplacementCause cause) {
         if (mRunning.containsKey(service)) {
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -1,12 +1,10 @@
 package org.plantainferry.gateway.control;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.promotion.CandidateChoice;
@@ -17,7 +15,6 @@
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.plantainferry.gateway.statement.ServerStatus;
 import org.plantainferry.gateway.statement.Statement;
-import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.ProbeAnswer;
 import org.plantainferry.network.http.Futures;
 
@@ -46,7 +43,6 @@
     private final String mService;
     private final ReplacementCause mCause;
     private final Runnable mEnded;
-    private final Supplier<FleetView> mView;
     private final String mOldPrimary;
     private final long mStartedNanos;
     private Optional<Long> mForeignVersion = Optional.empty();
@@ -58,17 +54,16 @@
     PrimaryReplacement(
             EventLoop loop,
             ReplacementTools tools,
-            Supplier<FleetView> view,
             String service,
             ReplacementCause cause,
             Runnable ended) {
         mLoop = loop;
         mTools = tools;
-        mView = view;
         mService = service;
         mCause = cause;
         mEnded = ended;
-        mOldPrimary = view.get().catalog().primary(service).map(CatalogServer::id).orElse("");
+        mOldPrimary =
+                tools.view().get().catalog().primary(service).map(CatalogServer::id).orElse("");
         mStartedNanos = tools.clock().getAsLong();
     }
 
@@ -95,7 +90,8 @@
 
     /** Returns whether the group has another primary than at the start, which does not leave. */
     private boolean isReplaced() {
-        return mView.get()
+        return mTools.view()
+                .get()
                 .catalog()
                 .primary(mService)
                 .filter(primary -> !primary.draining())
@@ -172,7 +168,7 @@
 
     /** Stops commits at a leaving primary, so that the replicas can receive all of them. */
     private void stepDown() {
-        Optional<CatalogServer> primary = mView.get().catalog().server(mOldPrimary);
+        Optional<CatalogServer> primary = mTools.view().get().catalog().server(mOldPrimary);
         if (primary.isEmpty()) {
             askReplicas();
             return;
@@ -204,7 +200,7 @@
     }
 
     private List<CatalogServer> replicas() {
-        return mView.get().catalog().servers(mService).stream()
+        return mTools.view().get().catalog().servers(mService).stream()
                 .filter(server -> !server.id().equals(mOldPrimary))
                 .filter(server -> !server.draining())
                 .toList();
@@ -231,7 +227,7 @@
         }
         int synchronous = mTools.synchronousReplicas(mService);
         Optional<ReplicaState> candidate =
-                CandidateChoice.choose(new ArrayList<>(states), replicas.size(), synchronous);
+                CandidateChoice.choose(states, replicas.size(), synchronous);
         if (candidate.isEmpty()) {
             close("no replica answered");
             return;
@@ -267,13 +263,7 @@
             close("the order was refused");
             return;
         }
-        boolean isLeading =
-                mView.get()
-                        .catalog()
-                        .primary(mService)
-                        .filter(p -> p.id().equals(server))
-                        .isPresent();
-        if (isLeading) {
+        if (isLeading(server)) {
             close("done");
         } else if (elapsedMillis() > ORDERS_END_MILLIS) {
             close("the platform does not take the order");
@@ -282,13 +272,17 @@
         }
     }
 
+    private boolean isLeading(String server) {
+        return mTools.view()
+                .get()
+                .catalog()
+                .primary(mService)
+                .filter(primary -> primary.id().equals(server))
+                .isPresent();
+    }
+
     private void awaitLeading(String server, long orderedNanos) {
-        boolean isLeading =
-                mView.get()
-                        .catalog()
-                        .primary(mService)
-                        .filter(p -> p.id().equals(server))
-                        .isPresent();
+        boolean isLeading = isLeading(server);
         boolean isLate = TimeUnit.NANOSECONDS.toMillis(now() - orderedNanos) > LEADING_MILLIS;
         if (isLeading || isLate) {
             close(isLeading ? "done" : "the server does not say that it leads");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
@@ -12,6 +12,7 @@
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.engine.placement.ConnectionPlan;
+import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.WireFormat;
@@ -81,12 +82,12 @@
         int connections = settings == null ? DEFAULT_CONNECTIONS : settings.maximumConnections();
         List<CatalogServer> servers = view.catalog().servers(service);
         Optional<String> primary = view.catalog().primary(service).map(CatalogServer::id);
-        Map<String, Integer> limits = plan.limits(servers, primary, connections);
+        GroupConnections planned = plan.plan(servers, primary, connections);
         for (CatalogServer server : servers) {
             present.add(server.id());
-            followServer(server, limits.get(server.id()));
+            followServer(server, planned.limits().get(server.id()));
         }
-        group(service).setHome(plan.home(mInstance, servers, primary).map(CatalogServer::id));
+        group(service).setHome(planned.home());
     }
 
     private void followServer(CatalogServer server, int limit) {
