Send reads where a connection is idle

Change: the placement of reads counts the opening of a connection, as measured for each server, and no longer avoids a server of another failure domain that has one idle; samples use any idle connection; 4 instead of 12 percent of a server's connections are kept back.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ConnectionPlan.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ConnectionPlan.java
@@ -20,7 +20,7 @@
  * @since 0.2
  */
 public final class ConnectionPlan {
-    private static final double RESERVED_PART = 0.12;
+    private static final double RESERVED_PART = 0.04;
     private static final int MOST_CONNECTIONS = 12;
 
     private final String mInstance;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -9,15 +9,17 @@
 /**
  * Chooses the server of a read.
  *
- * <p>It prefers replicas that are near, fast and not known to lack the required position. A server
- * that should be avoided is chosen only when no other is left.
+ * <p>It prefers replicas that are near, fast, connected and not known to lack the required
+ * position. A server that should be avoided is chosen only when no other is left.
  *
  * @since 0.2
  */
 public final class ReadPlacement {
     private static final double REMOTE_COST_MILLIS = 6;
     private static final double PRIMARY_COST_MILLIS = 12;
-    private static final double FOREIGN_COST_MILLIS = 20;
+    // The few connections to a server that is not the home replica are soon needed again.
+    private static final double FOREIGN_OPENING_FACTOR = 2;
+    private static final double FOREIGN_COST_MILLIS = 3;
     private static final double WAITING_WEIGHT = 2;
     private static final double BEHIND_COST_MILLIS = 1_000;
     private static final double AVOIDED_COST_MILLIS = 10_000;
@@ -64,7 +66,10 @@
         double cost = health.latencyMillis() * (1 + ahead / slots);
         cost += mFailureDomain.equals(candidate.server().failureDomain()) ? 0 : REMOTE_COST_MILLIS;
         cost += candidate.primary() ? PRIMARY_COST_MILLIS : 0;
-        cost += candidate.home() || candidate.primary() ? 0 : FOREIGN_COST_MILLIS;
+        boolean isForeign = !candidate.home() && !candidate.primary();
+        cost += isForeign ? FOREIGN_COST_MILLIS : 0;
+        double opening = health.openingMillis() * (isForeign ? FOREIGN_OPENING_FACTOR : 1);
+        cost += candidate.connected() ? 0 : opening;
         cost += candidate.server().draining() ? DRAINING_COST_MILLIS : 0;
         cost += health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0;
         boolean isBehind =
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
@@ -12,6 +12,7 @@
 public final class ServerHealth {
     private static final double SMOOTHING = 0.15;
     private static final double FIRST_LATENCY_MILLIS = 15;
+    private static final double FIRST_OPENING_MILLIS = 15;
     private static final long FIRST_AVOIDANCE_NANOS = 100_000_000L;
     private static final long LONGEST_AVOIDANCE_NANOS = 1_600_000_000L;
     private static final long DEPOSED_NANOS = 1_500_000_000L;
@@ -21,6 +22,7 @@
     private int mInFlight;
     private int mFailures;
     private double mLatencyMillis = FIRST_LATENCY_MILLIS;
+    private double mOpeningMillis = FIRST_OPENING_MILLIS;
     private long mAvoidUntil;
     private boolean mAvoided;
     private LogPosition mPosition = LogPosition.START;
@@ -47,6 +49,12 @@
         mAnsweredNanos = nowNanos;
     }
 
+    /** Notes that the server opened a connection. */
+    public void onOpened(long nowNanos, long tookNanos) {
+        mOpeningMillis += SMOOTHING * (tookNanos / NANOS_PER_MILLI - mOpeningMillis);
+        onSignOfLife(nowNanos);
+    }
+
     /** Notes that the server answered, whatever the answer says. */
     public void onSignOfLife(long nowNanos) {
         mAnsweredNanos = nowNanos;
@@ -118,6 +126,11 @@
         return mInFlight;
     }
 
+    /** Returns the smoothed time that the opening of a connection takes, in milliseconds. */
+    public double openingMillis() {
+        return mOpeningMillis;
+    }
+
     /** Returns the smoothed time of an answer, in milliseconds. */
     public double latencyMillis() {
         return mLatencyMillis;
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -27,11 +27,33 @@
     }
 
     private String choose(Set<String> excluded) {
+        return choose(excluded, Set.of("primary", "near", "far"));
+    }
+
+    private String choose(Set<String> excluded, Set<String> connected) {
         List<ReadCandidate> candidates =
                 List.of(
-                        new ReadCandidate(server("primary", "b", true), mPrimary, true, false, 0),
-                        new ReadCandidate(server("near", "a", false), mNear, false, true, 0),
-                        new ReadCandidate(server("far", "c", false), mFar, false, false, 0));
+                        new ReadCandidate(
+                                server("primary", "b", true),
+                                mPrimary,
+                                true,
+                                false,
+                                0,
+                                connected.contains("primary")),
+                        new ReadCandidate(
+                                server("near", "a", false),
+                                mNear,
+                                false,
+                                true,
+                                0,
+                                connected.contains("near")),
+                        new ReadCandidate(
+                                server("far", "c", false),
+                                mFar,
+                                false,
+                                false,
+                                0,
+                                connected.contains("far")));
         return new ReadPlacement("a")
                 .choose(candidates, REQUIRED, excluded, NOW)
                 .orElseThrow()
@@ -69,6 +91,26 @@
         assertEquals(choose(Set.of()).equals("near"), false);
     }
 
+    /** Guards against a new connection for almost every read where many workspaces share few. */
+    @Test
+    public void goesFurtherForAConnectionThatIsIdle() {
+        assertEquals(choose(Set.of(), Set.of("far")), "far");
+    }
+
+    @Test
+    public void opensANewConnectionAtTheNearReplicaWhenNoneIsIdle() {
+        assertEquals(choose(Set.of(), Set.of()), "near");
+    }
+
+    @Test
+    public void weighsHowLongServersTakeToOpenConnections() {
+        for (int round = 0; round < 40; round++) {
+            mNear.onOpened(NOW, 1_000_000);
+            mFar.onOpened(NOW, 1_000_000);
+        }
+        assertEquals(choose(Set.of(), Set.of("far")), "near");
+    }
+
     @Test
     public void choosesNoServerThatRefusedAlready() {
         assertEquals(choose(Set.of("near", "primary")), "far");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -122,7 +122,12 @@
 
     private void placeRead(Optional<LogPosition> required) {
         Optional<ServerPool> pool =
-                mGroup.chooseForRead(mBinder.placement(), required, mExcluded, mBinder.now());
+                mGroup.chooseForRead(
+                        mBinder.placement(),
+                        mRequest.workspace(),
+                        required,
+                        mExcluded,
+                        mBinder.now());
         if (pool.isEmpty()) {
             // Every server refused; their state may have changed after a pause.
             mExcluded.clear();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -33,18 +33,19 @@
         return mPools;
     }
 
-    Collection<ReadCandidate> candidates() {
-        return mPools.values().stream().map(pool -> candidate(pool)).toList();
+    private Collection<ReadCandidate> candidates(String workspace) {
+        return mPools.values().stream().map(pool -> candidate(pool, workspace)).toList();
     }
 
-    private ReadCandidate candidate(ServerPool pool) {
+    private ReadCandidate candidate(ServerPool pool, String workspace) {
         String id = pool.server().id();
         return new ReadCandidate(
                 pool.server(),
                 pool.health(),
                 id.equals(mPrimary),
                 id.equals(mHome),
-                pool.waiting());
+                pool.waiting(),
+                pool.hasIdle(workspace));
     }
 
     void setHome(Optional<String> server) {
@@ -53,11 +54,12 @@
 
     Optional<ServerPool> chooseForRead(
             ReadPlacement placement,
+            String workspace,
             Optional<LogPosition> required,
             Set<String> excluded,
             long nowNanos) {
         return placement
-                .choose(candidates(), required, excluded, nowNanos)
+                .choose(candidates(workspace), required, excluded, nowNanos)
                 .map(candidate -> mPools.get(candidate.server().id()));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimarySampler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimarySampler.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.plantainferry.gateway.statement.SessionMode;
+import org.plantainferry.gateway.statement.Statement;
 
 /**
  * Learns the log position of the primary by beginning and rolling back a transaction.
@@ -27,6 +29,44 @@
     /** Takes a sample; the callback says whether there is one. */
     void start(Consumer<Boolean> done) {
         long now = mBinder.now();
+        Optional<ServerPool> primary =
+                mGroup.primary(now).filter(pool -> !pool.health().isAvoided(now));
+        Optional<ServerLink> idle = primary.flatMap(ServerPool::takeAnyIdle);
+        if (idle.isPresent()) {
+            sampleOn(new BoundLink(primary.get(), idle.get(), Optional.empty()), done);
+            return;
+        }
+        bind(now, done);
+    }
+
+    /** Uses a connection of any workspace, because opening one takes longer than the sample. */
+    private void sampleOn(BoundLink bound, Consumer<Boolean> done) {
+        long sent = mBinder.now();
+        mBinder.send(
+                bound,
+                BindPurpose.TRANSACTION,
+                Optional.empty(),
+                Optional.empty(),
+                new Statement.Begin(false),
+                reply -> onBegun(bound, sent, reply, done));
+    }
+
+    private void onBegun(
+            BoundLink bound, long sentNanos, ServerReply reply, Consumer<Boolean> done) {
+        long now = mBinder.now();
+        if (reply.isDone() && reply.mode() == SessionMode.TRANSACTION) {
+            bound.pool().health().onSignOfLife(now);
+            reply.position().ifPresent(each -> mGroup.samples().record(sentNanos, each));
+            BindAttempt.rollBack(bound);
+            done.accept(reply.position().isPresent());
+            return;
+        }
+        BindAttempt.noteRefusal(bound.pool(), reply, now);
+        BindAttempt.giveBack(bound, reply);
+        done.accept(false);
+    }
+
+    private void bind(long now, Consumer<Boolean> done) {
         BindRequest request =
                 new BindRequest(
                         mFor.requestId(),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
@@ -66,8 +66,8 @@
         return mServer;
     }
 
-    String workspace() {
-        return mWorkspace;
+    boolean isFor(String workspace) {
+        return mWorkspace.equals(workspace);
     }
 
     ConnectionContents contents() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
@@ -106,6 +106,19 @@
         mLimit = Math.max(1, limit);
     }
 
+    boolean hasIdle(String workspace) {
+        return mIdle.stream().anyMatch(link -> link.isOpen() && link.isFor(workspace));
+    }
+
+    /** Takes any idle connection, for statements of this system that no session values affect. */
+    Optional<ServerLink> takeAnyIdle() {
+        mIdle.removeIf(link -> !link.isOpen());
+        Optional<ServerLink> newest =
+                mIdle.stream().max(Comparator.comparingLong(ServerLink::idleSinceNanos));
+        newest.ifPresent(mIdle::remove);
+        return newest;
+    }
+
     int waiting() {
         return mWaiters.size();
     }
@@ -141,7 +154,7 @@
         mIdle.removeIf(link -> !link.isOpen());
         Optional<ServerLink> best =
                 mIdle.stream()
-                        .filter(link -> link.workspace().equals(workspace))
+                        .filter(link -> link.isFor(workspace))
                         .min(
                                 Comparator.comparingInt(
                                         link -> link.contents().distance(session, needed)));
@@ -188,7 +201,8 @@
         mOpening++;
         mCounters.onConnectionOpening();
         link.onClosed(() -> onClosed(link));
-        link.open(mLoop, mLocalAddress, relay(), reply -> onOpened(link, reply));
+        long started = mClock.getAsLong();
+        link.open(mLoop, mLocalAddress, relay(), reply -> onOpened(link, started, reply));
     }
 
     private Optional<String> relay() {
@@ -216,14 +230,14 @@
         }
     }
 
-    private void onOpened(ServerLink link, ServerReply reply) {
+    private void onOpened(ServerLink link, long startedNanos, ServerReply reply) {
         mOpening--;
+        long now = mClock.getAsLong();
         if (reply.isDone()) {
-            mHealth.onSignOfLife(mClock.getAsLong());
+            mHealth.onOpened(now, now - startedNanos);
             release(link);
             return;
         }
-        long now = mClock.getAsLong();
         if (!reply.isLost() && reply.code() == FailureCode.TOO_MANY_CONNECTIONS) {
             mRefusedLimit = Math.max(1, mLinks.size() - 1);
             mRefusedUntil = now + LIMITED_NANOS;
