Let one instance of a failure domain confirm the configuration for all

Each instance watched the configuration in slices of 2.4 s, so that its confirmation stays young. Change: ConfirmationSources ranks the instances of a failure domain; the first asks the store once a second and the others ask it, or the next one when it stays silent or has nothing recent. Watches wait 15 s (configuration) and 8 s (servers), because keep-alive probes now find silent connections within 3 s.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadCandidate.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadCandidate.java
@@ -8,7 +8,7 @@
  * @param primary whether it leads its group
  * @param home whether it is the replica to which this instance sends its reads
  * @param waiting requests of this instance that wait for a connection to it
- * @param connected whether a connection to it is idle for the workspace of the read
+ * @param supply what the read finds there for its workspace
  * @since 0.2
  */
 public record ReadCandidate(
@@ -17,4 +17,4 @@
         boolean primary,
         boolean home,
         int waiting,
-        boolean connected) {}
+        ConnectionSupply supply) {}
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -17,6 +17,8 @@
 public final class ReadPlacement {
     private static final double REMOTE_COST_MILLIS = 6;
     private static final double PRIMARY_COST_MILLIS = 12;
+    // A connection that is opened into free room also serves the reads after this one.
+    private static final double ROOM_OPENING_PART = 0.3;
     // The few connections to a server that is not the home replica are soon needed again.
     private static final double FOREIGN_OPENING_FACTOR = 2;
     private static final double FOREIGN_COST_MILLIS = 3;
@@ -68,8 +70,7 @@
         cost += candidate.primary() ? PRIMARY_COST_MILLIS : 0;
         boolean isForeign = !candidate.home() && !candidate.primary();
         cost += isForeign ? FOREIGN_COST_MILLIS : 0;
-        double opening = health.openingMillis() * (isForeign ? FOREIGN_OPENING_FACTOR : 1);
-        cost += candidate.connected() ? 0 : opening;
+        cost += openingCost(candidate, isForeign);
         cost += candidate.server().draining() ? DRAINING_COST_MILLIS : 0;
         cost += health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0;
         boolean isBehind =
@@ -78,4 +79,13 @@
                         && health.isKnownBehind(required.get(), nowNanos, POSITION_NEWS_NANOS);
         return cost + (isBehind ? BEHIND_COST_MILLIS : 0);
     }
+
+    private static double openingCost(ReadCandidate candidate, boolean isForeign) {
+        double opening = candidate.health().openingMillis();
+        return switch (candidate.supply()) {
+            case IDLE -> 0;
+            case ROOM -> opening * ROOM_OPENING_PART;
+            case CROWDED -> opening * (isForeign ? FOREIGN_OPENING_FACTOR : 1);
+        };
+    }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -31,6 +31,10 @@
     }
 
     private String choose(Set<String> excluded, Set<String> connected) {
+        return choose(excluded, connected, ConnectionSupply.CROWDED);
+    }
+
+    private String choose(Set<String> excluded, Set<String> connected, ConnectionSupply others) {
         List<ReadCandidate> candidates =
                 List.of(
                         new ReadCandidate(
@@ -39,21 +43,21 @@
                                 true,
                                 false,
                                 0,
-                                connected.contains("primary")),
+                                connected.contains("primary") ? ConnectionSupply.IDLE : others),
                         new ReadCandidate(
                                 server("near", "a", false),
                                 mNear,
                                 false,
                                 true,
                                 0,
-                                connected.contains("near")),
+                                connected.contains("near") ? ConnectionSupply.IDLE : others),
                         new ReadCandidate(
                                 server("far", "c", false),
                                 mFar,
                                 false,
                                 false,
                                 0,
-                                connected.contains("far")));
+                                connected.contains("far") ? ConnectionSupply.IDLE : others));
         return new ReadPlacement("a")
                 .choose(candidates, REQUIRED, excluded, NOW)
                 .orElseThrow()
@@ -97,6 +101,14 @@
         assertEquals(choose(Set.of(), Set.of("far")), "far");
     }
 
+    /**
+     * Guards against reads that all stay at the primary, where the first write left a connection.
+     */
+    @Test
+    public void opensAConnectionAtAReplicaThatHasRoom() {
+        assertEquals(choose(Set.of(), Set.of("primary"), ConnectionSupply.ROOM), "near");
+    }
+
     @Test
     public void opensANewConnectionAtTheNearReplicaWhenNoneIsIdle() {
         assertEquals(choose(Set.of(), Set.of()), "near");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -2,28 +2,33 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.freshness.ConfirmationSources;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.ConfirmationAnswer;
 import org.plantainferry.gateway.peer.generated.ConfirmationQuestion;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.traffic.FleetView;
 
 /**
  * Keeps the confirmation of the configuration young with the help of other instances.
  *
- * <p>Each instance asks the store only every few seconds. All of them together ask it several times
- * a second, and pass on what they learned. Used by the control thread only.
+ * <p>One instance of each failure domain asks the store, and the others ask that one. An instance
+ * whose confirmation has become old all the same asks the store itself. Used by the control thread
+ * only.
  */
 final class ConfirmationExchange {
-    private static final long CHECK_MILLIS = 350;
-    private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long CHECK_MILLIS = 250;
+    private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    // A change must be in force everywhere within 3 s, also where a watch has fallen silent.
+    private static final long OLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EventLoop mLoop;
@@ -31,24 +36,26 @@
     private final ControlPlane mControl;
     private final PeerChannel mPeers;
     private final LongSupplier mClock;
-    private final Random mRandom;
-    private List<InstanceEntry> mOthers = List.of();
+    private final ConfirmationSources mSources;
+    private Map<String, InstanceEntry> mOthers = Map.of();
+    private Optional<String> mUnanswered = Optional.empty();
     private long mNumber;
     private long mAskedNanos;
 
     ConfirmationExchange(
             EventLoop loop,
-            String instance,
+            GatewaySettings settings,
             ControlPlane control,
             PeerChannel peers,
             LongSupplier clock,
             Random random) {
         mLoop = loop;
-        mInstance = instance;
+        mInstance = settings.instance();
         mControl = control;
         mPeers = peers;
         mClock = clock;
-        mRandom = random;
+        mSources = new ConfirmationSources(settings.instance(), settings.failureDomain());
+        // Answers to questions of an earlier process of this instance must not match.
         mNumber = random.nextLong() >>> 1;
     }
 
@@ -57,31 +64,48 @@
     }
 
     private void scheduleCheck() {
-        long age = mClock.getAsLong() - mControl.view().confirmedNanos();
-        long untilOld = TimeUnit.NANOSECONDS.toMillis(YOUNG_NANOS - age) + 1;
-        mLoop.schedule(this::askWhenOld, Math.max(CHECK_MILLIS, untilOld), TimeUnit.MILLISECONDS);
+        long untilOld = TimeUnit.NANOSECONDS.toMillis(YOUNG_NANOS - ageNanos()) + 1;
+        mLoop.schedule(this::check, Math.max(CHECK_MILLIS, untilOld), TimeUnit.MILLISECONDS);
+    }
+
+    private long ageNanos() {
+        return mClock.getAsLong() - mControl.view().confirmedNanos();
     }
 
     void onOthers(Map<String, InstanceEntry> others) {
-        mOthers = new ArrayList<>(others.values());
+        mOthers = others;
+        Map<String, String> domains = new HashMap<>();
+        others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
+        mSources.onInstances(domains);
     }
 
-    private void askWhenOld() {
+    private void check() {
         scheduleCheck();
         long now = mClock.getAsLong();
-        boolean isYoung = now - mControl.view().confirmedNanos() < YOUNG_NANOS;
-        if (isYoung || mOthers.isEmpty()) {
+        mUnanswered.ifPresent(each -> mSources.passOver(each, now));
+        mUnanswered = Optional.empty();
+        long age = ageNanos();
+        if (age < YOUNG_NANOS) {
             return;
         }
+        Optional<String> source = mSources.choose(now);
+        if (source.isEmpty() || age >= OLD_NANOS) {
+            mControl.confirmAtStore();
+        }
+        source.ifPresent(each -> ask(each, now));
+    }
+
+    private void ask(String source, long nowNanos) {
         mNumber++;
-        mAskedNanos = now;
+        mAskedNanos = nowNanos;
+        mUnanswered = Optional.of(source);
         mPeers.send(
                 InstanceMessage.newBuilder()
                         .setInstance(mInstance)
                         .setConfirmationQuestion(
                                 ConfirmationQuestion.newBuilder().setNumber(mNumber))
                         .build(),
-                mOthers.get(mRandom.nextInt(mOthers.size())).peerAddress());
+                mOthers.get(source).peerAddress());
     }
 
     void onQuestion(ConfirmationQuestion question, InetSocketAddress sender) {
@@ -102,9 +126,15 @@
 
     void onAnswer(ConfirmationAnswer answer) {
         // Only the newest question has a known time.
-        if (answer.getNumber() == mNumber) {
-            mControl.onPeerConfirmation(
-                    mAskedNanos, answer.getVersion(), answer.getAgeMillis() * NANOS_PER_MILLI);
+        if (answer.getNumber() != mNumber || mUnanswered.isEmpty()) {
+            return;
+        }
+        String source = mUnanswered.get();
+        mUnanswered = Optional.empty();
+        long age = answer.getAgeMillis() * NANOS_PER_MILLI;
+        if (age >= OLD_NANOS) {
+            mSources.passOver(source, mClock.getAsLong());
         }
+        mControl.onPeerConfirmation(mAskedNanos, answer.getVersion(), age);
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -25,9 +25,8 @@
  * @since 0.2
  */
 public final class ControlPlane {
-    // A withdrawn key must be known within seconds, also where no other instance answers.
-    private static final long CONFIGURATION_WAIT_MILLIS = 2_400;
-    private static final long SERVERS_WAIT_MILLIS = 3_500;
+    private static final long CONFIGURATION_WAIT_MILLIS = 15_000;
+    private static final long SERVERS_WAIT_MILLIS = 8_000;
     private static final long INSTANCES_WAIT_MILLIS = 20_000;
     private static final long LAPSE_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
@@ -162,6 +161,11 @@
                         view.otherDomains());
     }
 
+    /** Asks the store whether the configuration is the newest; used by the control thread only. */
+    void confirmAtStore() {
+        mConfigurationFollower.readOnce();
+    }
+
     /**
      * Takes over the confirmation of another instance; used by the control thread only.
      *
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
@@ -51,6 +51,7 @@
     private long mLostSinceNanos;
     private final Random mRandom = new Random();
     private boolean mLost;
+    private boolean mReadingOnce;
     // Counts the readings of everything; answers that belong to an earlier one are ignored.
     private long mRound;
     private long mReadAgainNanos;
@@ -89,6 +90,27 @@
         }
     }
 
+    /** Reads everything beside the watch, which goes on; nothing happens while such a read runs. */
+    void readOnce() {
+        if (mReadingOnce) {
+            return;
+        }
+        mReadingOnce = true;
+        long sent = mClock.getAsLong();
+        mFeed.readAll()
+                .whenComplete((page, failure) -> mLoop.execute(() -> onOnce(page, failure, sent)));
+    }
+
+    private void onOnce(FeedPage<T> page, Throwable failure, long sentNanos) {
+        mReadingOnce = false;
+        if (failure != null) {
+            noteLoss(failure, sentNanos);
+            return;
+        }
+        onSuccess(mLost ? mClock.getAsLong() - mLostSinceNanos : 0);
+        mListener.onAll(page, sentNanos, 0);
+    }
+
     private void readAll() {
         mRound++;
         long round = mRound;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -60,8 +60,7 @@
         mDemand = new DemandExchange(loop, settings.instance(), traffic, peers);
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
         mConfirmations =
-                new ConfirmationExchange(
-                        loop, settings.instance(), control, peers, clock, new Random());
+                new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
         mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
         ReplacementTools tools =
                 new ReplacementTools(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -45,7 +45,7 @@
                 id.equals(mPrimary),
                 id.equals(mHome),
                 pool.waiting(),
-                pool.hasIdle(workspace));
+                pool.supply(workspace));
     }
 
     void setHome(Optional<String> server) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerLink.java
@@ -28,6 +28,7 @@
 import org.plantainferry.gateway.statement.ServerMessage;
 import org.plantainferry.gateway.statement.SessionMode;
 import org.plantainferry.gateway.statement.Statement;
+import org.plantainferry.network.http.KeepAlive;
 import org.plantainferry.network.http.SocketAddresses;
 
 /**
@@ -126,7 +127,7 @@
                                         channel.pipeline().addLast(ServerLink.this);
                                     }
                                 });
-        bootstrap
+        KeepAlive.configure(bootstrap)
                 .connect(SocketAddresses.parse(relay.orElse(mServer.address())))
                 .addListener((ChannelFuture done) -> onConnected(done, relay.isPresent()));
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.placement.ConnectionSupply;
 import org.plantainferry.engine.placement.ServerHealth;
 import org.plantainferry.engine.sessionstate.PreparedShape;
 import org.plantainferry.engine.sessionstate.SessionValues;
@@ -106,8 +107,12 @@
         mLimit = Math.max(1, limit);
     }
 
-    boolean hasIdle(String workspace) {
-        return mIdle.stream().anyMatch(link -> link.isOpen() && link.isFor(workspace));
+    /** Returns what a statement of a workspace finds here now. */
+    ConnectionSupply supply(String workspace) {
+        if (mIdle.stream().anyMatch(link -> link.isOpen() && link.isFor(workspace))) {
+            return ConnectionSupply.IDLE;
+        }
+        return mLinks.size() < limitNow() ? ConnectionSupply.ROOM : ConnectionSupply.CROWDED;
     }
 
     /** Takes any idle connection, for statements of this system that no session values affect. */
--- a/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnector.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnector.java
@@ -83,7 +83,6 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mConnectTimeoutMillis)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
@@ -94,6 +93,7 @@
                                                 .addLast(connection);
                                     }
                                 });
+        KeepAlive.configure(bootstrap);
         mLocalAddress.ifPresent(local -> bootstrap.localAddress(new InetSocketAddress(local, 0)));
         return bootstrap;
     }
