Stop the load that late answers and lagging replicas put on a primary

Change: what a replica said holds longer each time that it was behind again, and a replica known to be behind is not asked; second copies have a budget of a tenth of the reads, and go only where another server can answer; a statement that a busy server refused is repeated after a pause that doubles.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -9,8 +9,9 @@
 /**
  * Chooses the server of a read.
  *
- * <p>It prefers replicas that are near, fast, connected and not known to lack the required
- * position. A server that should be avoided is chosen only when no other is left.
+ * <p>It prefers servers that are near, fast and connected. A server that should be avoided is
+ * chosen only when no other is left, and a replica that is known to lack the required position
+ * never.
  *
  * @since 0.2
  */
@@ -23,10 +24,8 @@
     private static final double FOREIGN_OPENING_FACTOR = 2;
     private static final double FOREIGN_COST_MILLIS = 3;
     private static final double WAITING_WEIGHT = 2;
-    private static final double BEHIND_COST_MILLIS = 1_000;
     private static final double AVOIDED_COST_MILLIS = 10_000;
     private static final double DRAINING_COST_MILLIS = 100_000;
-    private static final long POSITION_NEWS_NANOS = 150_000_000L;
 
     private final String mFailureDomain;
 
@@ -40,6 +39,7 @@
      *
      * @param required the position that the read must see; empty where any data will do
      * @param excluded ids of servers that already refused this read
+     * @return empty when each server is excluded or known to be behind
      */
     public Optional<ReadCandidate> choose(
             Collection<ReadCandidate> candidates,
@@ -49,10 +49,11 @@
         ReadCandidate best = null;
         double bestCost = Double.MAX_VALUE;
         for (ReadCandidate candidate : candidates) {
-            if (excluded.contains(candidate.server().id())) {
+            if (excluded.contains(candidate.server().id())
+                    || isBehind(candidate, required, nowNanos)) {
                 continue;
             }
-            double cost = cost(candidate, required, nowNanos);
+            double cost = cost(candidate, nowNanos);
             if (cost < bestCost) {
                 best = candidate;
                 bestCost = cost;
@@ -61,7 +62,14 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(ReadCandidate candidate, Optional<LogPosition> required, long nowNanos) {
+    private static boolean isBehind(
+            ReadCandidate candidate, Optional<LogPosition> required, long nowNanos) {
+        return required.isPresent()
+                && !candidate.primary()
+                && candidate.health().isKnownBehind(required.get(), nowNanos);
+    }
+
+    private double cost(ReadCandidate candidate, long nowNanos) {
         ServerHealth health = candidate.health();
         int slots = Math.max(1, candidate.server().slots());
         double ahead = health.inFlight() + WAITING_WEIGHT * candidate.waiting();
@@ -72,12 +80,7 @@
         cost += isForeign ? FOREIGN_COST_MILLIS : 0;
         cost += openingCost(candidate, isForeign);
         cost += candidate.server().draining() ? DRAINING_COST_MILLIS : 0;
-        cost += health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0;
-        boolean isBehind =
-                required.isPresent()
-                        && !candidate.primary()
-                        && health.isKnownBehind(required.get(), nowNanos, POSITION_NEWS_NANOS);
-        return cost + (isBehind ? BEHIND_COST_MILLIS : 0);
+        return cost + (health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0);
     }
 
     private static double openingCost(ReadCandidate candidate, boolean isForeign) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ServerHealth.java
@@ -17,6 +17,8 @@
     private static final long LONGEST_AVOIDANCE_NANOS = 1_600_000_000L;
     private static final long DEPOSED_NANOS = 1_500_000_000L;
     private static final int MOST_DOUBLINGS = 4;
+    private static final long POSITION_NEWS_NANOS = 150_000_000L;
+    private static final int MOST_NEWS_DOUBLINGS = 3;
     private static final double NANOS_PER_MILLI = 1e6;
 
     private int mInFlight;
@@ -27,6 +29,7 @@
     private boolean mAvoided;
     private LogPosition mPosition = LogPosition.START;
     private long mPositionNanos;
+    private int mBehind;
     private boolean mDeposed;
     private long mDeposedUntil;
     private long mAnsweredNanos = Long.MIN_VALUE;
@@ -45,6 +48,7 @@
     public void onAnswer(long nowNanos, long tookNanos) {
         mLatencyMillis += SMOOTHING * (tookNanos / NANOS_PER_MILLI - mLatencyMillis);
         mFailures = 0;
+        mBehind = 0;
         mAvoided = false;
         mAnsweredNanos = nowNanos;
     }
@@ -100,9 +104,21 @@
         mPositionNanos = nowNanos;
     }
 
-    /** Returns whether the server is known to lack a position, with news younger than a time. */
-    public boolean isKnownBehind(LogPosition required, long nowNanos, long youngerNanos) {
-        return nowNanos - mPositionNanos < youngerNanos && mPosition.compareTo(required) < 0;
+    /** Notes that the server refused a statement because its log lacks a position. */
+    public void onBehind() {
+        mBehind++;
+    }
+
+    /**
+     * Returns whether the server lacks a position, as far as is known.
+     *
+     * <p>What a replica said is taken to hold for a while, and for longer each time that it was
+     * behind again: one that has stopped to receive would otherwise be asked with every read.
+     */
+    public boolean isKnownBehind(LogPosition required, long nowNanos) {
+        int doublings = Math.min(MOST_NEWS_DOUBLINGS, Math.max(0, mBehind - 1));
+        boolean isNews = nowNanos - mPositionNanos < POSITION_NEWS_NANOS << doublings;
+        return isNews && mPosition.compareTo(required) < 0;
     }
 
     /** Notes that the server refused as a replica, although it was taken for the primary. */
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -35,6 +35,15 @@
     }
 
     private String choose(Set<String> excluded, Set<String> connected, ConnectionSupply others) {
+        return find(excluded, connected, others).orElseThrow();
+    }
+
+    private Optional<String> find(Set<String> excluded) {
+        return find(excluded, Set.of("primary", "near", "far"), ConnectionSupply.CROWDED);
+    }
+
+    private Optional<String> find(
+            Set<String> excluded, Set<String> connected, ConnectionSupply others) {
         List<ReadCandidate> candidates =
                 List.of(
                         new ReadCandidate(
@@ -60,9 +69,7 @@
                                 connected.contains("far") ? ConnectionSupply.IDLE : others));
         return new ReadPlacement("a")
                 .choose(candidates, REQUIRED, excluded, NOW)
-                .orElseThrow()
-                .server()
-                .id();
+                .map(candidate -> candidate.server().id());
     }
 
     private static CatalogServer server(String id, String domain, boolean primary) {
@@ -95,6 +102,26 @@
         assertEquals(choose(Set.of()).equals("near"), false);
     }
 
+    /** Guards against replicas that are asked again and again while the primary is busy. */
+    @Test
+    public void choosesNoReplicaThatIsKnownToBeBehind() {
+        mNear.onPosition(NOW, new LogPosition(3, 99));
+        mFar.onPosition(NOW, new LogPosition(3, 99));
+        assertEquals(find(Set.of("primary")), Optional.empty());
+    }
+
+    @Test
+    public void asksAReplicaLessOftenEachTimeThatItIsBehind() {
+        mNear.onPosition(NOW - 500_000_000L, new LogPosition(3, 99));
+        assertEquals(choose(Set.of()), "near");
+        mNear.onBehind();
+        mNear.onBehind();
+        mNear.onBehind();
+        assertEquals(choose(Set.of()).equals("near"), false);
+        mNear.onAnswer(NOW, 1_000_000);
+        assertEquals(choose(Set.of()), "near");
+    }
+
     /** Guards against a new connection for almost every read where many workspaces share few. */
     @Test
     public void goesFurtherForAConnectionThatIsIdle() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -128,8 +128,13 @@
                         required,
                         mExcluded,
                         mBinder.now());
+        if (pool.isEmpty() && mRequest.hedge()) {
+            mCallback.accept(BindResult.refused("no other server can answer", 0));
+            return;
+        }
         if (pool.isEmpty()) {
-            // Every server refused; their state may have changed after a pause.
+            // Every server refused or is behind; their state may have changed after a pause.
+            mLastReason = "every server refused the statement or lacks its position";
             mExcluded.clear();
             mBinder.later(ALL_REFUSED_PAUSE_MILLIS, this::bindRead);
             return;
@@ -259,6 +264,8 @@
         } else if (reply.code() == FailureCode.NOT_PRIMARY) {
             pool.health().onDeposed(nowNanos);
             GatewayEvent.PRIMARY_REFUSED.log(pool.server().service(), pool.server().id());
+        } else if (reply.code() == FailureCode.BEHIND) {
+            pool.health().onBehind();
         } else if (reply.code() == FailureCode.BUSY) {
             pool.health().avoid(nowNanos, BUSY_AVOIDANCE_NANOS);
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindRequest.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindRequest.java
@@ -18,6 +18,8 @@
  * @param sessionPosition the log position of the last commit of the session
  * @param arrivedNanos when the operation arrived
  * @param deadlineNanos until when a connection is useful
+ * @param hedge whether the statement is on its way to another server already, so that it is not
+ *     worth waiting for one
  */
 record BindRequest(
         String requestId,
@@ -28,4 +30,5 @@
         Optional<PreparedShape> needed,
         Optional<LogPosition> sessionPosition,
         long arrivedNanos,
-        long deadlineNanos) {}
+        long deadlineNanos,
+        boolean hedge) {}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.placement.HedgeBudget;
 import org.plantainferry.engine.placement.ReadPlacement;
 import org.plantainferry.gateway.statement.Statement;
 
@@ -24,6 +25,7 @@
     private final EventLoop mLoop;
     private final GroupDirectory mGroups;
     private final ReadPlacement mPlacement;
+    private final HedgeBudget mHedges = new HedgeBudget();
     private final LongSupplier mClock;
     private final Supplier<PrimarySuspicion> mSuspicion;
 
@@ -57,6 +59,10 @@
         return mPlacement;
     }
 
+    HedgeBudget hedges() {
+        return mHedges;
+    }
+
     /** Reports that a server which should be the primary does not answer. */
     void suspect(ServerPool pool) {
         mSuspicion.get().onSuspected(pool.server().service(), pool.server().id());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimarySampler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimarySampler.java
@@ -77,7 +77,8 @@
                         Optional.empty(),
                         Optional.empty(),
                         now,
-                        now + DEADLINE_NANOS);
+                        now + DEADLINE_NANOS,
+                        false);
         mBinder.bind(request, new HashSet<>(), result -> onBound(result, done));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -18,6 +18,8 @@
 final class SingleStatement {
     private static final int MOST_ATTEMPTS = 6;
     private static final long RETRY_AFTER_MILLIS = 150;
+    private static final long FIRST_BUSY_PAUSE_MILLIS = 15;
+    private static final int MOST_DOUBLINGS = 4;
     private static final long SILENCE_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final Binder mBinder;
@@ -68,14 +70,15 @@
     void start() {
         mDeadline = mBinder.later(mContext.route().statementTimeoutMillis(), this::onDeadline);
         if (mPurpose == BindPurpose.READ) {
+            mBinder.hedges().onRead();
             // A read that takes unusually long is sent to a second server.
             long hedgeMillis = PlacementPatience.hedgeMillis(mContext.route());
             mHedge = Optional.of(mBinder.later(hedgeMillis, this::hedge));
         }
-        attempt();
+        attempt(false);
     }
 
-    private void attempt() {
+    private void attempt(boolean hedge) {
         mAttempts++;
         mPending++;
         BindRequest request =
@@ -88,7 +91,8 @@
                         mStatement.shape(),
                         mContext.positions().of(mContext.route().service()),
                         mArrivedNanos,
-                        PlacementPatience.deadline(mContext.route(), mArrivedNanos));
+                        PlacementPatience.deadline(mContext.route(), mArrivedNanos),
+                        hedge);
         mBinder.bind(request, mExcluded, this::onBound);
     }
 
@@ -161,7 +165,7 @@
         if (mayRepeat && mAttempts < MOST_ATTEMPTS && now - mDeadlineNanos < 0) {
             GatewayEvent.REQUEST_RETRIED.log(
                     mRequestId, bound.pool().server().id(), mAttempts, mLastReason);
-            attempt();
+            attemptAgain(reply);
             return;
         }
         if (mPending > 0) {
@@ -170,6 +174,24 @@
         fail(bound, failureCode(reply));
     }
 
+    /** Tries again, after a pause that grows when the servers have more work than they can do. */
+    private void attemptAgain(ServerReply reply) {
+        if (reply.isLost() || reply.code() != FailureCode.BUSY) {
+            attempt(false);
+            return;
+        }
+        mPending++;
+        long pauseMillis = FIRST_BUSY_PAUSE_MILLIS << Math.min(mAttempts - 1, MOST_DOUBLINGS);
+        mBinder.later(
+                pauseMillis,
+                () -> {
+                    mPending--;
+                    if (!mFinished) {
+                        attempt(false);
+                    }
+                });
+    }
+
     private FailureCode failureCode(ServerReply reply) {
         if (!reply.isLost()) {
             return reply.code() == FailureCode.OTHER ? FailureCode.FAILED : reply.code();
@@ -193,13 +215,13 @@
     }
 
     private void hedge() {
-        if (mFinished || mPending != 1) {
+        if (mFinished || mPending != 1 || !mBinder.hedges().tryHedge()) {
             return;
         }
         if (mUnanswered == 1) {
             avoidSilentServer();
         }
-        attempt();
+        attempt(true);
     }
 
     private void avoidSilentServer() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -133,7 +133,8 @@
                         call.mStatement.shape(),
                         mContext.positions().of(mContext.route().service()),
                         mStatementNanos,
-                        PlacementPatience.deadline(mContext.route(), mStatementNanos));
+                        PlacementPatience.deadline(mContext.route(), mStatementNanos),
+                        false);
         mBinder.bind(request, mExcluded, result -> onBound(call, result));
     }
 
