Open connections for the workspace whose requests wait most together

Nine workspaces shared 2 or 3 connections of each instance, and each request in turn closed one and opened another, which takes 12 ms of a server's slot; a request that a connection was being opened for already was opened for twice. Change: OpeningChoice opens for the workspace with the longest waiting time of all its requests together, and not for requests that get a connection already. While the replicas of a group are all behind, its primary still opens a connection for about every second request; only passing statements on to instances that hold a connection would end that.

--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/OpeningChoice.java
@@ -0,0 +1,59 @@
+package org.plantainferry.engine.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Chooses the workspace for which the next connection to a server is opened.
+ *
+ * <p>Opening takes as much of a server as a statement. Where many requests wait, one connection
+ * should serve several of them, so the workspace with the longest waiting time of all its requests
+ * together goes first; a single request grows as important by waiting.
+ *
+ * @since 0.2
+ */
+public final class OpeningChoice {
+    private static final long LEAST_WEIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private OpeningChoice() {}
+
+    /**
+     * Describes a request that waits for a connection.
+     *
+     * @param workspace whose connection it needs
+     * @param waitedNanos for how long it has waited
+     */
+    public record Waiting(String workspace, long waitedNanos) {}
+
+    /**
+     * Returns the workspace to open for; empty when no further connection is needed.
+     *
+     * @param waiting the requests, in order of arrival
+     * @param opening the connections that are being opened now, by workspace; each will serve the
+     *     first request of its workspace
+     */
+    public static Optional<String> choose(List<Waiting> waiting, Map<String, Integer> opening) {
+        Map<String, Integer> covered = new HashMap<>(opening);
+        Map<String, Long> weights = new HashMap<>();
+        for (Waiting each : waiting) {
+            int left = covered.getOrDefault(each.workspace(), 0);
+            if (left > 0) {
+                covered.put(each.workspace(), left - 1);
+                continue;
+            }
+            weights.merge(each.workspace(), each.waitedNanos() + LEAST_WEIGHT_NANOS, Long::sum);
+        }
+        String best = null;
+        // The order of arrival decides between workspaces that wait equally long.
+        for (Waiting each : waiting) {
+            long weight = weights.getOrDefault(each.workspace(), 0L);
+            if (weight > 0 && (best == null || weight > weights.get(best))) {
+                best = each.workspace();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -44,7 +44,7 @@
                 pool.health(),
                 id.equals(mPrimary),
                 id.equals(mHome),
-                pool.waiting(),
+                pool.waiters(),
                 pool.supply(workspace));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
@@ -6,13 +6,16 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.placement.ConnectionSupply;
+import org.plantainferry.engine.placement.OpeningChoice;
 import org.plantainferry.engine.placement.ServerHealth;
 import org.plantainferry.engine.sessionstate.PreparedShape;
 import org.plantainferry.engine.sessionstate.SessionValues;
@@ -36,13 +39,16 @@
         private final SessionValues mSession;
         private final Optional<PreparedShape> mNeeded;
         private final Consumer<PoolAnswer> mCallback;
+        private final long mSinceNanos;
         private ScheduledFuture<?> mTimeout;
 
         Waiter(
                 String workspace,
                 SessionValues session,
                 Optional<PreparedShape> needed,
+                long sinceNanos,
                 Consumer<PoolAnswer> callback) {
+            mSinceNanos = sinceNanos;
             mWorkspace = workspace;
             mSession = session;
             mNeeded = needed;
@@ -60,6 +66,7 @@
     private final List<ServerLink> mLinks = new ArrayList<>();
     private final List<ServerLink> mIdle = new ArrayList<>();
     private final Deque<Waiter> mWaiters = new ArrayDeque<>();
+    private final Map<String, Integer> mOpeningFor = new HashMap<>();
     private int mOpening;
     private int mLimit;
     private int mRefusedLimit;
@@ -124,7 +131,7 @@
         return newest;
     }
 
-    int waiting() {
+    int waiters() {
         return mWaiters.size();
     }
 
@@ -144,7 +151,7 @@
             callback.accept(PoolAnswer.granted(idle.get()));
             return;
         }
-        Waiter waiter = new Waiter(workspace, session, needed, callback);
+        Waiter waiter = new Waiter(workspace, session, needed, mClock.getAsLong(), callback);
         mWaiters.addLast(waiter);
         waiter.mTimeout =
                 mLoop.schedule(
@@ -180,34 +187,45 @@
     }
 
     private void openForWaiters() {
-        int unserved = mWaiters.size() - mOpening;
-        for (Waiter waiter : List.copyOf(mWaiters)) {
-            if (unserved <= 0 || mOpening >= MOST_OPENING) {
+        while (mOpening < MOST_OPENING) {
+            Optional<String> workspace = OpeningChoice.choose(waiting(), mOpeningFor);
+            boolean hasPlace = mLinks.size() < limitNow() || !mIdle.isEmpty();
+            if (workspace.isEmpty() || !hasPlace) {
                 return;
             }
-            if (mLinks.size() >= limitNow() && !evictIdle()) {
-                return;
+            if (mLinks.size() >= limitNow()) {
+                evictIdle();
             }
-            unserved--;
-            open(waiter.mWorkspace);
+            open(workspace.get());
         }
     }
 
-    private boolean evictIdle() {
-        Optional<ServerLink> oldest =
-                mIdle.stream().min(Comparator.comparingLong(ServerLink::idleSinceNanos));
-        oldest.ifPresent(link -> link.close("its place is needed for another workspace"));
-        return oldest.isPresent();
+    private List<OpeningChoice.Waiting> waiting() {
+        long now = mClock.getAsLong();
+        return mWaiters.stream()
+                .map(
+                        waiter ->
+                                new OpeningChoice.Waiting(
+                                        waiter.mWorkspace, now - waiter.mSinceNanos))
+                .toList();
+    }
+
+    private void evictIdle() {
+        mIdle.stream()
+                .min(Comparator.comparingLong(ServerLink::idleSinceNanos))
+                .ifPresent(link -> link.close("its place is needed for another workspace"));
     }
 
     private void open(String workspace) {
         ServerLink link = new ServerLink(mFormat, mServer, workspace);
         mLinks.add(link);
         mOpening++;
+        mOpeningFor.merge(workspace, 1, Integer::sum);
         mCounters.onConnectionOpening();
         link.onClosed(() -> onClosed(link));
         long started = mClock.getAsLong();
-        link.open(mLoop, mLocalAddress, relay(), reply -> onOpened(link, started, reply));
+        link.open(
+                mLoop, mLocalAddress, relay(), reply -> onOpened(link, workspace, started, reply));
     }
 
     private Optional<String> relay() {
@@ -235,8 +253,9 @@
         }
     }
 
-    private void onOpened(ServerLink link, long startedNanos, ServerReply reply) {
+    private void onOpened(ServerLink link, String workspace, long startedNanos, ServerReply reply) {
         mOpening--;
+        mOpeningFor.computeIfPresent(workspace, (key, count) -> count > 1 ? count - 1 : null);
         long now = mClock.getAsLong();
         if (reply.isDone()) {
             mHealth.onOpened(now, now - startedNanos);
