Answer a line over 1 MiB with an error of the protocol

Cause: a line above the limit ended the session without an answer and was logged as an unexpected error. Change: the session is refused as malformed and closed. Test: GatewayEndToEndTest.refusesALineOverOneMebibyte (fails before).

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -403,6 +404,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof TooLongFrameException && !mClosed) {
+            mClosed = true;
+            mWriter.refuseSession(FailureCode.MALFORMED, "the line is longer than 1 MiB");
+            onGone();
+            return;
+        }
         if (!(cause instanceof IOException)) {
             GatewayEvent.UNEXPECTED.log("session", cause);
         }
