Hold the first request of a workspace until its allocator has answered

LocalFleet warms up only the workspace bench; the first request of the workspace other at an instance asks its allocator and was refused when the answer took longer than 100 ms, as if the rate were used up. Change: before the first answer of an allocator nothing is known, so a request is held for up to 500 ms; after it the 100 ms hold as before.

--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/TrafficDirector.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/TrafficDirector.java
@@ -28,9 +28,6 @@
     private static final long DRAIN_RETRY_MILLIS = 100;
     private static final long NO_RATE_RETRY_MILLIS = 500;
 
-    /** A caller is held for at most this time before it is refused (design page, section 7). */
-    private static final long LONGEST_GRANT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
     /** A grant usually arrives after one round trip between instances, a few milliseconds. */
     private static final long GRANT_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
 
@@ -78,7 +75,7 @@
         }
         CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
         Acquisition first = bucket.get().tryAcquire(mClock.getAsLong());
-        long giveUpNanos = mClock.getAsLong() + LONGEST_GRANT_WAIT_NANOS;
+        long giveUpNanos = mClock.getAsLong() + bucket.get().longestWaitNanos();
         new GrantWait(request, bucket.get(), giveUpNanos, mGroup.next(), answer).follow(first);
         return answer;
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTiming.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/ShareTiming.java
@@ -28,6 +28,9 @@
     /** The time that a caller may wait for a grant. */
     static final long LONGEST_WAIT = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** The time that a caller may wait where no allocator has answered for its workspace yet. */
+    static final long LONGEST_FIRST_WAIT = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** A version is in force everywhere within 11 s; the rest is a margin. */
     static final long CONFIGURATION_SETTLING = TimeUnit.SECONDS.toNanos(15);
 
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/limit/WorkspaceBucket.java
@@ -43,6 +43,7 @@
     private long mBackoff = FIRST_BACKOFF;
     private volatile boolean mAskWanted;
     private int mWaiting;
+    private boolean mAnswered;
 
     /** Creates an empty bucket. */
     public WorkspaceBucket(long nowNanos) {
@@ -82,14 +83,28 @@
         if (mNow - mNextAsk >= 0) {
             mAskWanted = true;
             mWaiting = 1;
-            mWaitUntil = mNow + ShareTiming.LONGEST_WAIT;
+            mWaitUntil = mNow + longestWait();
             // The ask may never be answered; callers after it are refused for a while.
             mNextAsk = mWaitUntil + mBackoff;
-            return new Acquisition.Wait(ShareTiming.LONGEST_WAIT);
+            return new Acquisition.Wait(longestWait());
         }
         return waitForDueToken(first);
     }
 
+    private long longestWait() {
+        return mAnswered ? ShareTiming.LONGEST_WAIT : ShareTiming.LONGEST_FIRST_WAIT;
+    }
+
+    /**
+     * Returns how long a caller may be held, in nanoseconds.
+     *
+     * <p>Before the first answer of an allocator nothing says that the rate is used up, so a caller
+     * is held longer rather than refused.
+     */
+    public synchronized long longestWaitNanos() {
+        return longestWait();
+    }
+
     /** Queues the request when a token is due soon, behind those that wait already. */
     private Acquisition waitForDueToken(boolean first) {
         double rate = mPermanentRate + mGrantRate;
@@ -178,6 +193,7 @@
                 ratePerSecond >= 0 && capacity >= 0 && addedTokens >= 0,
                 "rate, capacity and tokens must not be negative");
         advance(nowNanos);
+        mAnswered = true;
         if (mNow - untilNanos >= 0) {
             mGrantUntil = mNow;
             mGrantRate = 0;
