Add the command explain, which reads a request's story from the logs of gateways

On-call engineers have only logs. The command prints, for a request id and the logs of instances, what each instance believed before its first decision, with ages, the decisions in order, and in a sentence what the last one means.

--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/CommandLine.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/CommandLine.java
@@ -31,6 +31,7 @@
         add("history", new HistoryCommand(mOptions));
         add("drain", new DrainCommand(mOptions));
         add("check", new CheckCommand());
+        add("explain", new ExplainCommand());
     }
 
     /** Returns the exit code. */
--- /dev/null
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/ExplainCommand.java
@@ -0,0 +1,73 @@
+package org.plantainferry.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.api.Verdict;
+import org.plantainferry.cli.log.LogLine;
+import org.plantainferry.cli.log.RequestExplanation;
+
+/** Explains from the logs of gateways what happened to a request. */
+@Parameters(
+        commandDescription =
+                "Shows the decisions about a request in the logs of gateways, and what each"
+                        + " instance believed")
+final class ExplainCommand implements Command {
+    private static final int LEAST_ARGUMENTS = 2;
+
+    @Parameter(description = "REQUEST_ID LOGFILE...", required = true)
+    private List<String> mArguments = new ArrayList<>();
+
+    @Override
+    public Outcome run(CommandContext context) {
+        if (mArguments.size() < LEAST_ARGUMENTS) {
+            return Outcome.badUsage(
+                    "A request id and at least one log file are needed.",
+                    "name the logs of all instances of the caller's failure domain.");
+        }
+        String request = mArguments.get(0);
+        List<RequestExplanation> found = new ArrayList<>();
+        for (String file : mArguments.subList(1, mArguments.size())) {
+            RequestExplanation explanation = read(request, Path.of(file));
+            if (explanation.isFound()) {
+                found.add(explanation);
+            }
+        }
+        if (found.isEmpty()) {
+            return Outcome.refused(
+                    "No log has a line about request " + request + ".",
+                    "a request that succeeded at once has no lines; name the logs of other"
+                            + " instances otherwise.");
+        }
+        found.sort(Comparator.comparing(each -> each.first().time()));
+        List<String> lines = found.stream().flatMap(each -> each.describe().stream()).toList();
+        return Outcome.done(Change.NO, "Request " + request + ":").withDetails(lines, lines);
+    }
+
+    private static RequestExplanation read(String request, Path file) {
+        RequestExplanation explanation =
+                new RequestExplanation(request, file.getFileName().toString());
+        try (Stream<String> lines = Files.lines(file)) {
+            lines.map(LogLine::parse).flatMap(Optional::stream).forEach(explanation::add);
+            return explanation;
+        } catch (IOException | UncheckedIOException e) {
+            throw new PlantainferryException(
+                    ErrorCode.ARGUMENT_INVALID, "cannot read " + file, Verdict.NOT_RUN, 0, e);
+        }
+    }
+
+    @Override
+    public String example() {
+        return "plantainferry explain 5c0e7a21d94b36f8 como-1.log como-2.log";
+    }
+}
