Leave servers that are about to end alone, also when all others refuse

Change: a leaving server is no candidate for reads while its group has others; a leaving primary that could not be replaced takes new work until 1.5 s before the bound of the platform, which is the new setting serverDrainMillis.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -10,8 +10,8 @@
  * Chooses the server of a read.
  *
  * <p>It prefers servers that are near, fast and connected. A server that should be avoided is
- * chosen only when no other is left, and a replica that is known to lack the required position
- * never.
+ * chosen only when no other is left. A replica that is known to lack the required position is never
+ * chosen, and neither is a leaving server while the group has others.
  *
  * @since 0.2
  */
@@ -25,7 +25,6 @@
     private static final double FOREIGN_COST_MILLIS = 3;
     private static final double WAITING_WEIGHT = 2;
     private static final double AVOIDED_COST_MILLIS = 10_000;
-    private static final double DRAINING_COST_MILLIS = 100_000;
 
     private final String mFailureDomain;
 
@@ -46,10 +45,15 @@
             Optional<LogPosition> required,
             Set<String> excluded,
             long nowNanos) {
+        // A leaving server is left alone even while all others are busy or behind.
+        boolean canLeaveAlone =
+                candidates.stream().anyMatch(candidate -> !candidate.server().draining());
         ReadCandidate best = null;
         double bestCost = Double.MAX_VALUE;
         for (ReadCandidate candidate : candidates) {
-            if (excluded.contains(candidate.server().id())
+            boolean isLeftAlone = canLeaveAlone && candidate.server().draining();
+            if (isLeftAlone
+                    || excluded.contains(candidate.server().id())
                     || isBehind(candidate, required, nowNanos)) {
                 continue;
             }
@@ -79,7 +83,6 @@
         boolean isForeign = !candidate.home() && !candidate.primary();
         cost += isForeign ? FOREIGN_COST_MILLIS : 0;
         cost += openingCost(candidate, isForeign);
-        cost += candidate.server().draining() ? DRAINING_COST_MILLIS : 0;
         return cost + (health.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0);
     }
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -18,12 +18,14 @@
     private ServerHealth mPrimary;
     private ServerHealth mNear;
     private ServerHealth mFar;
+    private boolean mNearLeaves;
 
     @BeforeMethod
     public void forgetServers() {
         mPrimary = new ServerHealth();
         mNear = new ServerHealth();
         mFar = new ServerHealth();
+        mNearLeaves = false;
     }
 
     private String choose(Set<String> excluded) {
@@ -47,21 +49,21 @@
         List<ReadCandidate> candidates =
                 List.of(
                         new ReadCandidate(
-                                server("primary", "b", true),
+                                server("primary", "b", true, false),
                                 mPrimary,
                                 true,
                                 false,
                                 0,
                                 connected.contains("primary") ? ConnectionSupply.IDLE : others),
                         new ReadCandidate(
-                                server("near", "a", false),
+                                server("near", "a", false, mNearLeaves),
                                 mNear,
                                 false,
                                 true,
                                 0,
                                 connected.contains("near") ? ConnectionSupply.IDLE : others),
                         new ReadCandidate(
-                                server("far", "c", false),
+                                server("far", "c", false, false),
                                 mFar,
                                 false,
                                 false,
@@ -72,8 +74,9 @@
                 .map(candidate -> candidate.server().id());
     }
 
-    private static CatalogServer server(String id, String domain, boolean primary) {
-        return new CatalogServer(id, "s", "10.0.0.1:1", domain, primary, false, 3, 0);
+    private static CatalogServer server(
+            String id, String domain, boolean primary, boolean draining) {
+        return new CatalogServer(id, "s", "10.0.0.1:1", domain, primary, draining, 3, 0);
     }
 
     @Test
@@ -102,6 +105,14 @@
         assertEquals(choose(Set.of()).equals("near"), false);
     }
 
+    /** Guards against reads at a server that is about to end, because all others just refused. */
+    @Test
+    public void choosesNoLeavingServerWhileTheGroupHasOthers() {
+        mNearLeaves = true;
+        assertEquals(find(Set.of("primary", "far")), Optional.empty());
+        assertEquals(find(Set.of("primary")), Optional.of("far"));
+    }
+
     /** Guards against replicas that are asked again and again while the primary is busy. */
     @Test
     public void choosesNoReplicaThatIsKnownToBeBehind() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -14,6 +14,7 @@
  * @param storeAddress IP:PORT of the platform's store
  * @param ordersAddress IP:PORT of the platform's service for orders
  * @param drainMillis how long the process may take to end after a signal
+ * @param serverDrainMillis for how long a leaving server takes work, at most
  * @param keyWithdrawalMillis how soon a withdrawn key must have stopped working
  * @param rateWindowMillis the window over which the rate of a workspace is judged
  * @param rateExcess the part by which a workspace may exceed its limit in the window
@@ -30,6 +31,7 @@
         String storeAddress,
         String ordersAddress,
         long drainMillis,
+        long serverDrainMillis,
         long keyWithdrawalMillis,
         long rateWindowMillis,
         double rateExcess,
@@ -47,6 +49,7 @@
         notEmpty(ordersAddress, "ordersAddress");
         Preconditions.condition(peerPort > 0 && peerPort <= MAX_PORT, "peerPort is out of range");
         Preconditions.condition(drainMillis > 0, "drainMillis must be positive");
+        Preconditions.condition(serverDrainMillis > 0, "serverDrainMillis must be positive");
         Preconditions.condition(keyWithdrawalMillis > 0, "keyWithdrawalMillis must be positive");
         Preconditions.condition(rateWindowMillis > 0, "rateWindowMillis must be positive");
         Preconditions.condition(rateExcess >= 0, "rateExcess must not be negative");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -73,6 +73,7 @@
                         text("storeAddress"),
                         text("ordersAddress"),
                         whole("drainMillis"),
+                        whole("serverDrainMillis"),
                         whole("keyWithdrawalMillis"),
                         whole("rateWindowMillis"),
                         number("rateExcess"),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
@@ -25,12 +25,15 @@
 final class GroupDirectory {
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final int DEFAULT_CONNECTIONS = 30;
+    // The longest time between the choice of a connection and the arrival of its statement.
+    private static final long LEAVING_MARGIN_MILLIS = 1_500;
 
     private final EventLoop mLoop;
     private final WireFormat mFormat;
     private final String mInstance;
     private final String mFailureDomain;
     private final String mLocalAddress;
+    private final long mLeavingNanos;
     private final LongSupplier mClock;
     private final TrafficCounters mCounters;
     private final Map<String, GroupState> mGroups = new HashMap<>();
@@ -46,12 +49,15 @@
         mInstance = settings.instance();
         mFailureDomain = settings.failureDomain();
         mLocalAddress = settings.localAddress();
+        mLeavingNanos =
+                TimeUnit.MILLISECONDS.toNanos(
+                        Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
         mClock = clock;
         mCounters = counters;
     }
 
     GroupState group(String service) {
-        return mGroups.computeIfAbsent(service, key -> new GroupState());
+        return mGroups.computeIfAbsent(service, key -> new GroupState(mLeavingNanos));
     }
 
     /** Applies a new view: opens pools of new servers and closes those of servers that left. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -22,9 +22,19 @@
     private final PositionSamples mSamples = new PositionSamples();
     private final List<Runnable> mSampleWaiters = new ArrayList<>();
     private boolean mSampling;
+    private final long mLeavingNanos;
     private String mPrimary = "";
     private String mHome = "";
 
+    /**
+     * Creates a group without servers.
+     *
+     * @param leavingNanos for how long a leaving primary takes new work
+     */
+    GroupState(long leavingNanos) {
+        mLeavingNanos = leavingNanos;
+    }
+
     PositionSamples samples() {
         return mSamples;
     }
@@ -63,10 +73,14 @@
                 .map(candidate -> mPools.get(candidate.server().id()));
     }
 
-    /** Returns the primary that control knows, unless it refused as a replica since. */
+    /**
+     * Returns the primary that control knows, unless it refused as a replica since or has been
+     * leaving for so long that it may end at any time.
+     */
     Optional<ServerPool> primary(long nowNanos) {
         return Optional.ofNullable(mPools.get(mPrimary))
-                .filter(pool -> !pool.health().isDeposed(nowNanos));
+                .filter(pool -> !pool.health().isDeposed(nowNanos))
+                .filter(pool -> !pool.hasBeenLeavingSince(nowNanos - mLeavingNanos));
     }
 
     void setPrimary(Optional<String> server) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerPool.java
@@ -73,6 +73,7 @@
     private long mRefusedUntil;
     private Optional<String> mRelay = Optional.empty();
     private long mRelayUntil = Long.MIN_VALUE / 2;
+    private Optional<Long> mLeavingSinceNanos = Optional.empty();
     private boolean mClosed;
 
     ServerPool(
@@ -92,6 +93,20 @@
         mHealth = health;
         mCounters = counters;
         mLimit = limit;
+        noteLeaving();
+    }
+
+    private void noteLeaving() {
+        if (!mServer.draining()) {
+            mLeavingSinceNanos = Optional.empty();
+        } else if (mLeavingSinceNanos.isEmpty()) {
+            mLeavingSinceNanos = Optional.of(mClock.getAsLong());
+        }
+    }
+
+    /** Returns whether the server was known to leave before a time. */
+    boolean hasBeenLeavingSince(long nanos) {
+        return mLeavingSinceNanos.isPresent() && mLeavingSinceNanos.get() - nanos <= 0;
     }
 
     CatalogServer server() {
@@ -108,6 +123,7 @@
             mHealth.onRoleDeclared();
         }
         mServer = server;
+        noteLeaving();
     }
 
     void setLimit(int limit) {
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
@@ -13,7 +13,8 @@
                     + "{'instance':'a','failureDomain':'z','localAddress':'127.0.0.1',"
                     + "'callerListener':'127.0.0.1:1','operatorListener':'127.0.0.1:2',"
                     + "'peerPort':3,'storeAddress':'127.0.0.1:4','ordersAddress':'127.0.0.1:5',"
-                    + "'drainMillis':6000,'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
+                    + "'drainMillis':6000,"
+                    + "'serverDrainMillis':7000,'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
                     + "'rateExcess':0.1,'rateSlack':20}";
 
     private static GatewaySettings parse(String text) {
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/Exchanges.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/Exchanges.java
@@ -23,9 +23,9 @@
     /**
      * Reads the body as text; empty when it is longer than the limit.
      *
-     * <p>Blocks, and so must run on a task thread. What is above the limit is read as well, because a
-     * client that is still sending when the connection ends never sees the answer. Undertow itself
-     * ends connections whose body is over 2 MB.
+     * <p>Blocks, and so must run on a task thread. What is above the limit is read as well, because
+     * a client that is still sending when the connection ends never sees the answer. Undertow
+     * itself ends connections whose body is over 2 MB.
      */
     public static Optional<String> body(HttpServerExchange exchange, int maxBytes)
             throws IOException {
