Act on the suspicion of a silent primary from the first start on

PrimaryKeeper took Long.MIN_VALUE for the end of a calm period that never began; now minus that value overflows, so that every suspicion was ignored until a first replacement of the group had ended in this process. Silent primaries were replaced only when their entry lapsed, and connections were never passed on through another instance. Ruled out: probes that were answered (the probe is sent after the check that returned). Change: a group without a calm period is not calm. Test: GatewayEndToEndTest.replacesAPrimaryThatFellSilentButKeepsItsEntry (fails before).

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -140,7 +140,8 @@
     private void checkSuspicion(String service, String server) {
         Optional<CatalogServer> primary = mCatalog.primary(service);
         boolean isPrimary = primary.isPresent() && primary.get().id().equals(server);
-        boolean isCalm = mClock.getAsLong() - mCalmUntil.getOrDefault(service, Long.MIN_VALUE) < 0;
+        Long calmUntil = mCalmUntil.get(service);
+        boolean isCalm = calmUntil != null && mClock.getAsLong() - calmUntil < 0;
         if (!isPrimary || isCalm || mRunning.containsKey(service) || !mSuspected.add(service)) {
             return;
         }
