Use primaries only under a lease, and tell all instances before one is replaced

Change: an instance uses primaries only while it has had contact with instances of a majority of the failure domains within a second (LeadLease). Who replaces a primary makes it step down, or tells all instances to stop using it and waits out the lease of those that do not confirm (FenceRound, LeadExchange). A commit whose answer comes after the lease ended or the notice came is reported as of unknown outcome. A claim older than 1.5 s is renewed before an order, so that no order is sent with a token below that of an instance that took the claim over. A server that comes back into sight as a primary displaces nobody (PrimaryBeliefs); where two claim the role at the start, the newest term decides. Where the platform fences (setting platformFencesPrimaries) nothing is guarded.

Ruled out: a lease by the age of the store's confirmation, because writes would stop whenever the store is down.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/PrimaryBeliefs.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/PrimaryBeliefs.java
@@ -1,20 +1,29 @@
 package org.plantainferry.engine.catalog;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * Remembers which server of each group last became its primary.
  *
- * <p>A primary that died still calls itself one until its entry lapses, so two servers may claim
- * the role at the same time; the one whose entry changed last is right. Used by one thread.
+ * <p>Two servers may claim the role at the same time: one that died still does until its entry
+ * lapses, and one that was cut off does so again until it has reached its successor. A server that
+ * was seen as a replica before was promoted, and the newest promotion is right. A server that comes
+ * into sight as a primary was perhaps one long ago: it does not displace another one. Where neither
+ * is known, the role is contested until {@link #settle}. Used by one thread.
  *
  * @since 0.2
  */
 public final class PrimaryBeliefs {
-    private record Claim(String server, long revision) {}
+    private record Claim(String server, long revision, boolean promoted) {}
 
     private final Map<String, Map<String, Claim>> mClaims = new HashMap<>();
+    private final Map<String, String> mBelieved = new HashMap<>();
+    private final Set<String> mReplicas = new HashSet<>();
 
     /** Notes the entry of a server, with the revision of its last change. */
     public void onEntry(CatalogServer server, long revision) {
@@ -22,28 +31,67 @@
                 mClaims.computeIfAbsent(server.service(), key -> new HashMap<>());
         if (!server.primary()) {
             claims.remove(server.id());
+            mReplicas.add(server.id());
             return;
         }
+        boolean promoted = mReplicas.contains(server.id());
         // Later changes of the entry of a primary are no new claim.
-        claims.putIfAbsent(server.id(), new Claim(server.id(), revision));
+        claims.putIfAbsent(server.id(), new Claim(server.id(), revision, promoted));
     }
 
     /** Notes that the entry of a server is gone. */
     public void onRemoved(CatalogServer server) {
+        mReplicas.remove(server.id());
         Map<String, Claim> claims = mClaims.get(server.service());
         if (claims != null) {
             claims.remove(server.id());
         }
     }
 
+    /** Takes a server for the primary, because it was found to have the newest term. */
+    public void settle(String service, String server) {
+        Map<String, Claim> claims = mClaims.getOrDefault(service, Map.of());
+        if (claims.containsKey(server)) {
+            mBelieved.put(service, server);
+        }
+    }
+
     /** Returns the id of the primary of each service that has one. */
     public Map<String, String> primaries() {
         Map<String, String> primaries = new HashMap<>();
         mClaims.forEach(
                 (service, claims) ->
-                        claims.values().stream()
-                                .max((one, other) -> Long.compare(one.revision, other.revision))
-                                .ifPresent(claim -> primaries.put(service, claim.server)));
+                        choose(service, claims.values())
+                                .ifPresent(server -> primaries.put(service, server)));
+        mBelieved.clear();
+        mBelieved.putAll(primaries);
         return primaries;
     }
+
+    /** Returns the servers that claim the role in each service where it is contested. */
+    public Map<String, Set<String>> contested() {
+        Map<String, Set<String>> contested = new HashMap<>();
+        mClaims.forEach(
+                (service, claims) -> {
+                    if (!claims.isEmpty() && choose(service, claims.values()).isEmpty()) {
+                        contested.put(service, Set.copyOf(claims.keySet()));
+                    }
+                });
+        return contested;
+    }
+
+    private Optional<String> choose(String service, Collection<Claim> claims) {
+        Optional<Claim> promoted =
+                claims.stream()
+                        .filter(Claim::promoted)
+                        .max((one, other) -> Long.compare(one.revision, other.revision));
+        if (promoted.isPresent()) {
+            return promoted.map(Claim::server);
+        }
+        if (claims.size() == 1) {
+            return Optional.of(claims.iterator().next().server());
+        }
+        String believed = mBelieved.get(service);
+        return claims.stream().map(Claim::server).filter(id -> id.equals(believed)).findFirst();
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/ServerCatalog.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/ServerCatalog.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -14,23 +15,29 @@
  */
 public final class ServerCatalog {
     /** The catalog before the first one was read. */
-    public static final ServerCatalog EMPTY = new ServerCatalog(List.of(), Map.of());
+    public static final ServerCatalog EMPTY = new ServerCatalog(List.of(), Map.of(), Map.of());
 
     private final Map<String, CatalogServer> mById = new HashMap<>();
     private final Map<String, List<CatalogServer>> mByService = new HashMap<>();
     private final Map<String, String> mPrimaries;
+    private final Map<String, Set<String>> mContested;
 
     /**
      * Creates a catalog of servers with different ids.
      *
      * @param primaries the id of the present primary by service
+     * @param contested the ids that claim the role, by service, where it is open which one is right
      */
-    public ServerCatalog(Iterable<CatalogServer> servers, Map<String, String> primaries) {
+    public ServerCatalog(
+            Iterable<CatalogServer> servers,
+            Map<String, String> primaries,
+            Map<String, Set<String>> contested) {
         for (CatalogServer server : servers) {
             mById.put(server.id(), server);
             mByService.computeIfAbsent(server.service(), key -> new ArrayList<>()).add(server);
         }
         mPrimaries = Map.copyOf(primaries);
+        mContested = Map.copyOf(contested);
     }
 
     /** Returns a server by its id. */
@@ -53,6 +60,14 @@
         return Optional.ofNullable(mPrimaries.get(service)).map(mById::get);
     }
 
+    /** Returns the servers that claim to lead a service, where it is open which one is right. */
+    public List<CatalogServer> contenders(String service) {
+        return mContested.getOrDefault(service, Set.of()).stream()
+                .map(mById::get)
+                .filter(Objects::nonNull)
+                .toList();
+    }
+
     /** Returns all servers. */
     public List<CatalogServer> all() {
         return List.copyOf(mById.values());
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainSpeakers.java
@@ -0,0 +1,71 @@
+package org.plantainferry.engine.membership;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Chooses one instance of each failure domain that speaks for the others.
+ *
+ * <p>All instances rank each other alike. One that did not answer is passed over for a while. Times
+ * are monotonic nanoseconds. Used by one thread.
+ *
+ * @since 0.2
+ */
+public final class DomainSpeakers {
+    private static final long PASSED_OVER_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    private final long mSubjectHash;
+    private final Map<String, Long> mPassedOverUntil = new HashMap<>();
+    private Map<String, String> mDomains = Map.of();
+
+    /**
+     * Creates a choice without instances.
+     *
+     * @param subject what is spoken about; instances rank differently for different subjects
+     */
+    public DomainSpeakers(String subject) {
+        mSubjectHash = RendezvousScore.hash(subject);
+    }
+
+    /** Takes over the instances, with the failure domain of each. */
+    public void onInstances(Map<String, String> domains) {
+        mDomains = Map.copyOf(domains);
+        mPassedOverUntil.keySet().retainAll(mDomains.keySet());
+    }
+
+    /** Passes over an instance that did not answer, or knew nothing recent. */
+    public void passOver(String instance, long nowNanos) {
+        mPassedOverUntil.put(instance, nowNanos + PASSED_OVER_NANOS);
+    }
+
+    /** Returns the failure domains that have instances. */
+    public Set<String> domains() {
+        return new HashSet<>(mDomains.values());
+    }
+
+    /** Returns the instance that ranks first in a domain; empty when all were passed over. */
+    public Optional<String> speaker(String domain, long nowNanos) {
+        String best = null;
+        long bestScore = 0;
+        for (Map.Entry<String, String> each : mDomains.entrySet()) {
+            if (!each.getValue().equals(domain) || isPassedOver(each.getKey(), nowNanos)) {
+                continue;
+            }
+            long score = RendezvousScore.score(RendezvousScore.hash(each.getKey()), mSubjectHash);
+            if (best == null || score > bestScore) {
+                best = each.getKey();
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private boolean isPassedOver(String instance, long nowNanos) {
+        Long until = mPassedOverUntil.get(instance);
+        return until != null && nowNanos - until < 0;
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.plantainferry.gateway.spi.PlatformAdapter;
 import org.plantainferry.gateway.spi.PlatformConnection;
 import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.LeadGuard;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.SessionCounts;
 import org.plantainferry.gateway.traffic.TrafficCounters;
@@ -56,6 +57,7 @@
         PlatformConnection platform = adapter.connect(settings, controlGroup);
         LongSupplier clock = new SuspensionAwareClock(System::nanoTime, System::currentTimeMillis);
         mControl = new ControlPlane(controlGroup.next(), settings, platform, clock, this::onView);
+        LeadGuard guard = new LeadGuard(clock);
         mTraffic =
                 new TrafficServer(
                         traffic,
@@ -66,10 +68,11 @@
                         this::suspicion,
                         this::borrow,
                         this::reportDemand,
-                        new TrafficCounters(mMeters));
+                        new TrafficCounters(mMeters),
+                        guard);
         mFleet =
                 new FleetController(
-                        controlGroup.next(), settings, platform, mTraffic, mControl, clock);
+                        controlGroup.next(), settings, platform, mTraffic, mControl, clock, guard);
     }
 
     private static EventLoopGroup singleThread(String name) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -182,6 +182,15 @@
         publishConfirmation();
     }
 
+    /**
+     * Takes a server for the primary of a group where two claimed the role; used by the control
+     * thread only.
+     */
+    void settlePrimary(String service, String server) {
+        mServers.settle(service, server);
+        onServersChanged();
+    }
+
     private void onServersChanged() {
         mCatalog = mServers.catalog();
         publish();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -13,6 +13,7 @@
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PlatformConnection;
 import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.LeadGuard;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.ServerProbe;
 import org.plantainferry.gateway.traffic.TokenLender;
@@ -33,6 +34,8 @@
     private final ReachabilityPoll mPoll;
     private final TokenExchange mTokens;
     private final ConfirmationExchange mConfirmations;
+    private final LeadExchange mLeads;
+    private final boolean mGuardsPrimaries;
     private final PrimaryKeeper mKeeper;
 
     /**
@@ -40,6 +43,7 @@
      *
      * @param loop the control thread
      * @param clock time that includes suspensions of the machine, in nanoseconds
+     * @param guard receives which primaries may be used
      */
     public FleetController(
             EventLoop loop,
@@ -47,7 +51,8 @@
             PlatformConnection platform,
             TrafficServer traffic,
             ControlPlane control,
-            LongSupplier clock) {
+            LongSupplier clock,
+            LeadGuard guard) {
         mLoop = loop;
         Supplier<FleetView> view = control::view;
         mView = view;
@@ -62,12 +67,16 @@
         mConfirmations =
                 new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
         mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
+        mLeads = new LeadExchange(loop, settings, peers, clock, guard, new Random());
+        mGuardsPrimaries = !settings.platformFencesPrimaries();
         ReplacementTools tools =
                 new ReplacementTools(
                         settings.instance(),
                         platform.claims(),
                         platform.promotions(),
                         probe,
+                        mLeads,
+                        mGuardsPrimaries,
                         clock,
                         view);
         mKeeper =
@@ -78,13 +87,17 @@
                         probe,
                         mPoll,
                         traffic,
-                        (service, cause, ended) ->
-                                new PrimaryReplacement(loop, tools, service, cause, ended));
+                        control::settlePrimary,
+                        (service, cause, last, ended) ->
+                                new PrimaryReplacement(loop, tools, service, cause, last, ended));
     }
 
     /** Begins the periodic work. */
     public void start() {
         mLoop.execute(mConfirmations::start);
+        if (mGuardsPrimaries) {
+            mLoop.execute(mLeads::start);
+        }
     }
 
     /** Returns where traffic reports primaries that do not answer. */
@@ -108,6 +121,7 @@
         mPoll.onOthers(others);
         mTokens.onOthers(others);
         mConfirmations.onOthers(others);
+        mLeads.onOthers(others);
         mKeeper.onView(view);
     }
 
@@ -120,6 +134,12 @@
             case CONFIRMATION_QUESTION ->
                     mConfirmations.onQuestion(message.getConfirmationQuestion(), sender);
             case CONFIRMATION_ANSWER -> mConfirmations.onAnswer(message.getConfirmationAnswer());
+            case LEAD_QUESTION -> mLeads.onQuestion(message.getLeadQuestion(), sender);
+            case LEAD_ANSWER -> mLeads.onAnswer(message.getLeadAnswer());
+            case LEAD_FENCE -> mLeads.onNotice(message.getLeadFence(), sender);
+            case LEAD_FENCE_CONFIRMATION ->
+                    mLeads.onConfirmation(
+                            message.getInstance(), message.getLeadFenceConfirmation());
             case REACHABILITY_ANSWER ->
                     mPoll.onAnswer(message.getInstance(), message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -1,16 +1,20 @@
 package org.plantainferry.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.engine.membership.RendezvousScore;
+import org.plantainferry.engine.promotion.ReplicaState;
 import org.plantainferry.engine.promotion.SuspicionVote;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.InstanceEntry;
@@ -48,12 +52,24 @@
     private final Set<String> mSuspected = new HashSet<>();
     private final Map<String, Long> mCalmUntil = new HashMap<>();
     private final Map<String, PrimaryReplacement> mRunning = new HashMap<>();
+    private final Map<String, CatalogServer> mLastPrimaries = new HashMap<>();
+    private final Set<String> mSettling = new HashSet<>();
+    private final BiConsumer<String, String> mSettled;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private Set<String> mOthers = Set.of();
 
     /** Creates the replacement of one primary. */
     interface ReplacementFactory {
-        PrimaryReplacement create(String service, ReplacementCause cause, Runnable ended);
+        /**
+         * Creates a replacement.
+         *
+         * @param last the primary that was known last, also when its entry is gone
+         */
+        PrimaryReplacement create(
+                String service,
+                ReplacementCause cause,
+                Optional<CatalogServer> last,
+                Runnable ended);
     }
 
     PrimaryKeeper(
@@ -63,6 +79,7 @@
             ServerProbe probe,
             ReachabilityPoll poll,
             TrafficServer traffic,
+            BiConsumer<String, String> settled,
             ReplacementFactory factory) {
         mLoop = loop;
         mInstance = instance;
@@ -70,6 +87,7 @@
         mProbe = probe;
         mPoll = poll;
         mTraffic = traffic;
+        mSettled = settled;
         mFactory = factory;
     }
 
@@ -77,12 +95,45 @@
         mCatalog = view.catalog();
         mOthers = view.otherInstances();
         for (String service : mCatalog.services()) {
-            watch(service);
+            mCatalog.primary(service).ifPresent(each -> mLastPrimaries.put(service, each));
+            if (mCatalog.contenders(service).isEmpty()) {
+                watch(service);
+            } else {
+                settle(service);
+            }
         }
     }
 
+    /** Asks the servers that claim to lead a group for their terms; the newest term is right. */
+    private void settle(String service) {
+        List<CatalogServer> contenders = mCatalog.contenders(service);
+        if (contenders.isEmpty() || !mSettling.add(service)) {
+            return;
+        }
+        ReplicaSurvey.run(
+                mLoop, mProbe, contenders, PROBE_MILLIS, states -> onTerms(service, states));
+    }
+
+    private void onTerms(String service, List<ReplicaState> states) {
+        mSettling.remove(service);
+        Optional<ReplicaState> newest =
+                states.stream()
+                        .filter(ReplicaState::primary)
+                        .max(Comparator.comparingLong(ReplicaState::term));
+        if (newest.isEmpty()) {
+            mLoop.schedule(() -> settle(service), AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        String server = newest.get().server().id();
+        GatewayEvent.PRIMARY_SETTLED.log(service, server, newest.get().term());
+        mSettled.accept(service, server);
+    }
+
     private Optional<ReplacementCause> visibleCause(String service) {
         Optional<CatalogServer> primary = mCatalog.primary(service);
+        if (!mCatalog.contenders(service).isEmpty()) {
+            return Optional.empty();
+        }
         if (primary.isEmpty()) {
             return Optional.of(ReplacementCause.MISSING);
         }
@@ -121,7 +172,9 @@
         if (mRunning.containsKey(service)) {
             return;
         }
-        PrimaryReplacement replacement = mFactory.create(service, cause, () -> onEnded(service));
+        Optional<CatalogServer> last = Optional.ofNullable(mLastPrimaries.get(service));
+        PrimaryReplacement replacement =
+                mFactory.create(service, cause, last, () -> onEnded(service));
         mRunning.put(service, replacement);
         replacement.start();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -21,15 +21,17 @@
 /**
  * Replaces the primary of one group, step by step.
  *
- * <p>The steps are: claim the group in the store, which gives a fencing token of its own; make a
- * leaving primary step down; ask the replicas how far they have received; order the one that has
- * most to lead; wait until it says that it leads. Each order keeps its candidate and its token, so
- * that an order whose answer was lost does no harm when it is carried out late. Used by the control
- * thread only.
+ * <p>The steps are: claim the group in the store, which gives a fencing token of its own; make the
+ * primary step down, or else all instances stop to use it; ask the replicas how far they have
+ * received; order the one that has most to lead; wait until it says that it leads. Each order keeps
+ * its candidate and its token, so that an order whose answer was lost does no harm when it is
+ * carried out late. Used by the control thread only.
  */
 final class PrimaryReplacement {
     private static final long FOREIGN_CLAIM_MILLIS = 2_500;
     private static final long FOREIGN_POLL_MILLIS = 250;
+    // Well before another instance takes a claim over that has not changed.
+    private static final long CLAIM_TRUSTED_MILLIS = 1_500;
     private static final long STATUS_MILLIS = 350;
     private static final long CATCH_UP_MILLIS = 700;
     private static final long CATCH_UP_POLL_MILLIS = 60;
@@ -47,20 +49,27 @@
     private final long mStartedNanos;
     private Optional<Long> mForeignVersion = Optional.empty();
     private long mForeignSinceNanos;
+    private final Optional<CatalogServer> mLast;
     private PromotionClaim mClaim;
+    private long mClaimSentNanos;
+    private Optional<PromotionClaim> mFencedWith = Optional.empty();
     private Optional<LogPosition> mLeft = Optional.empty();
     private long mCatchUpUntil;
+    private boolean mAsking;
+    private boolean mOrdered;
 
     PrimaryReplacement(
             EventLoop loop,
             ReplacementTools tools,
             String service,
             ReplacementCause cause,
+            Optional<CatalogServer> last,
             Runnable ended) {
         mLoop = loop;
         mTools = tools;
         mService = service;
         mCause = cause;
+        mLast = last;
         mEnded = ended;
         mOldPrimary =
                 tools.view().get().catalog().primary(service).map(CatalogServer::id).orElse("");
@@ -133,6 +142,7 @@
         }
         long token = stored.map(each -> each.claim().fencingToken()).orElse(0L) + 1;
         mClaim = new PromotionClaim(mTools.holder(), token, true);
+        mClaimSentNanos = now();
         mTools.claims()
                 .write(mService, stored.map(each -> each.version()), mClaim)
                 .whenComplete(
@@ -159,28 +169,54 @@
             later(FOREIGN_POLL_MILLIS, this::claim);
             return;
         }
-        if (mCause == ReplacementCause.LEAVING) {
+        boolean isGuarded = mTools.guardsPrimaries() && mLast.isPresent();
+        if (isGuarded) {
+            mFencedWith = Optional.of(mClaim);
+            mTools.leads().fence(mService, mLast.get().id(), mClaim.fencingToken(), this::onFenced);
+        }
+        if (isGuarded || mCause == ReplacementCause.LEAVING) {
             stepDown();
             return;
         }
-        askReplicas();
+        askReplicasOnce();
     }
 
-    /** Stops commits at a leaving primary, so that the replicas can receive all of them. */
-    private void stepDown() {
-        Optional<CatalogServer> primary = mTools.view().get().catalog().server(mOldPrimary);
-        if (primary.isEmpty()) {
+    private void onFenced(boolean isUnused) {
+        if (isUnused) {
+            askReplicasOnce();
+        } else if (!mAsking) {
+            closeUnordered("instances may still use the primary");
+        }
+    }
+
+    /** Goes on as soon as the primary has stepped down or no instance uses it any more. */
+    private void askReplicasOnce() {
+        if (!mAsking) {
+            mAsking = true;
             askReplicas();
+        }
+    }
+
+    /** Stops commits at the primary, so that the replicas can receive all of them. */
+    private void stepDown() {
+        if (mLast.isEmpty()) {
+            askReplicasOnce();
             return;
         }
         mTools.probe()
-                .send(primary.get(), new Statement.Status(), STATUS_MILLIS)
-                .thenAccept(answer -> mLoop.execute(() -> onLeavingStatus(primary.get(), answer)));
+                .send(mLast.get(), new Statement.Status(), STATUS_MILLIS)
+                .thenAccept(answer -> mLoop.execute(() -> onOldStatus(mLast.get(), answer)));
     }
 
-    private void onLeavingStatus(CatalogServer primary, ProbeAnswer answer) {
+    private void onNotSteppedDown() {
+        if (mFencedWith.isEmpty()) {
+            askReplicasOnce();
+        }
+    }
+
+    private void onOldStatus(CatalogServer primary, ProbeAnswer answer) {
         if (answer.status().isEmpty()) {
-            askReplicas();
+            onNotSteppedDown();
             return;
         }
         long term = answer.status().get().term() + 1;
@@ -190,12 +226,16 @@
                         stepped ->
                                 mLoop.execute(
                                         () -> {
+                                            if (stepped.status().isEmpty()) {
+                                                onNotSteppedDown();
+                                                return;
+                                            }
                                             mLeft = stepped.status().map(ServerStatus::received);
                                             mCatchUpUntil =
                                                     now()
                                                             + TimeUnit.MILLISECONDS.toNanos(
                                                                     CATCH_UP_MILLIS);
-                                            askReplicas();
+                                            askReplicasOnce();
                                         }));
     }
 
@@ -209,7 +249,7 @@
     private void askReplicas() {
         List<CatalogServer> replicas = replicas();
         if (replicas.isEmpty()) {
-            close("no replica is known");
+            closeUnordered("no replica is known");
             return;
         }
         ReplicaSurvey.run(
@@ -229,7 +269,7 @@
         Optional<ReplicaState> candidate =
                 CandidateChoice.choose(states, replicas.size(), synchronous);
         if (candidate.isEmpty()) {
-            close("no replica answered");
+            closeUnordered("no replica answered");
             return;
         }
         boolean isBehind =
@@ -246,7 +286,55 @@
         order(candidate.get().server().id());
     }
 
+    private boolean isClaimTrusted() {
+        long age = TimeUnit.NANOSECONDS.toMillis(now() - mClaimSentNanos);
+        return age < CLAIM_TRUSTED_MILLIS;
+    }
+
+    /** Makes sure that no other instance has taken the claim over, with a new token. */
+    private void renewClaim(String server) {
+        long sent = now();
+        PromotionClaim renewed =
+                new PromotionClaim(mClaim.holder(), mClaim.fencingToken() + 1, true);
+        mTools.claims()
+                .read(mService)
+                .thenCompose(
+                        stored -> {
+                            boolean isOwn =
+                                    stored.isPresent() && stored.get().claim().equals(mClaim);
+                            return isOwn
+                                    ? mTools.claims()
+                                            .write(
+                                                    mService,
+                                                    Optional.of(stored.get().version()),
+                                                    renewed)
+                                    : CompletableFuture.completedFuture(false);
+                        })
+                .whenComplete(
+                        (written, failure) ->
+                                mLoop.execute(
+                                        () -> {
+                                            if (failure != null || !written) {
+                                                // Another instance that took the claim over
+                                                // fences with a higher token of its own.
+                                                if (!mOrdered) {
+                                                    liftFence();
+                                                }
+                                                end("the claim could not be renewed");
+                                                return;
+                                            }
+                                            mClaim = renewed;
+                                            mClaimSentNanos = sent;
+                                            order(server);
+                                        }));
+    }
+
     private void order(String server) {
+        if (!isClaimTrusted()) {
+            renewClaim(server);
+            return;
+        }
+        mOrdered = true;
         mTools.orders()
                 .promote(mService, server, mClaim)
                 .whenComplete(
@@ -291,6 +379,17 @@
         later(LEADING_POLL_MILLIS, () -> awaitLeading(server, orderedNanos));
     }
 
+    /** Gives up before an order was sent, so that the primary may be used again. */
+    private void closeUnordered(String outcome) {
+        liftFence();
+        close(outcome);
+    }
+
+    private void liftFence() {
+        mFencedWith.ifPresent(
+                claim -> mTools.leads().lift(mService, mLast.get().id(), claim.fencingToken()));
+    }
+
     /** Marks the claim as ended, so that the next replacement need not wait, and ends. */
     private void close(String outcome) {
         PromotionClaim ended = new PromotionClaim(mClaim.holder(), mClaim.fencingToken(), false);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementTools.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementTools.java
@@ -12,12 +12,16 @@
  * Holds what the replacement of a primary works with.
  *
  * @param holder the name under which this process claims groups
+ * @param leads keeps the instances from using a primary that is being replaced
+ * @param guardsPrimaries whether a former primary may go on leading after the order
  */
 record ReplacementTools(
         String holder,
         ClaimStore claims,
         PromotionOrders orders,
         ServerProbe probe,
+        LeadExchange leads,
+        boolean guardsPrimaries,
         LongSupplier clock,
         Supplier<FleetView> view) {
     int synchronousReplicas(String service) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ServerList.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ServerList.java
@@ -108,8 +108,14 @@
         return !mGoneAt.isEmpty();
     }
 
+    /** Takes a server for the primary of a group where two claimed the role. */
+    void settle(String service, String server) {
+        mPrimaries.settle(service, server);
+    }
+
     /** Returns the servers as they are now. */
     ServerCatalog catalog() {
-        return new ServerCatalog(mServers.values(), mPrimaries.primaries());
+        Map<String, String> primaries = mPrimaries.primaries();
+        return new ServerCatalog(mServers.values(), primaries, mPrimaries.contested());
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -15,6 +15,8 @@
  * @param ordersAddress IP:PORT of the platform's service for orders
  * @param drainMillis how long the process may take to end after a signal
  * @param serverDrainMillis for how long a leaving server takes work, at most
+ * @param platformFencesPrimaries whether a former primary loses the lead as another one is ordered;
+ *     otherwise it may go on while it is cut off, and the instances guard against using it
  * @param keyWithdrawalMillis how soon a withdrawn key must have stopped working
  * @param rateWindowMillis the window over which the rate of a workspace is judged
  * @param rateExcess the part by which a workspace may exceed its limit in the window
@@ -32,6 +34,7 @@
         String ordersAddress,
         long drainMillis,
         long serverDrainMillis,
+        boolean platformFencesPrimaries,
         long keyWithdrawalMillis,
         long rateWindowMillis,
         double rateExcess,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -74,6 +74,7 @@
                         text("ordersAddress"),
                         whole("drainMillis"),
                         whole("serverDrainMillis"),
+                        flag("platformFencesPrimaries"),
                         whole("keyWithdrawalMillis"),
                         whole("rateWindowMillis"),
                         number("rateExcess"),
@@ -115,6 +116,14 @@
         return value.longValue();
     }
 
+    private boolean flag(String name) {
+        JsonNode value = value(name);
+        if (!value.isBoolean()) {
+            throw invalid(name + " must be true or false");
+        }
+        return value.booleanValue();
+    }
+
     private double number(String name) {
         JsonNode value = value(name);
         if (!value.isNumber()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
@@ -28,18 +28,21 @@
     private final HedgeBudget mHedges = new HedgeBudget();
     private final LongSupplier mClock;
     private final Supplier<PrimarySuspicion> mSuspicion;
+    private final LeadGuard mGuard;
 
     Binder(
             EventLoop loop,
             GroupDirectory groups,
             ReadPlacement placement,
             LongSupplier clock,
-            Supplier<PrimarySuspicion> suspicion) {
+            Supplier<PrimarySuspicion> suspicion,
+            LeadGuard guard) {
         mLoop = loop;
         mGroups = groups;
         mPlacement = placement;
         mClock = clock;
         mSuspicion = suspicion;
+        mGuard = guard;
     }
 
     /**
@@ -71,6 +74,9 @@
     /**
      * Sends a statement, and suspects a primary that leaves it without an answer.
      *
+     * <p>A primary that may be replaced gets no statement, and a commit that it answers counts as
+     * lost, because it may be missing in the log of the new one.
+     *
      * @param requestId the id of the caller's request; empty for a statement of this system
      * @param callback runs once, with the answer or with its loss
      */
@@ -85,6 +91,11 @@
             bound.link().send(requestId, required, statement, callback);
             return;
         }
+        if (!mayUse(bound.pool())) {
+            callback.accept(ServerReply.withheld("the primary may be replaced"));
+            return;
+        }
+        boolean isCommit = purpose == BindPurpose.WRITE || statement instanceof Statement.Commit;
         long sent = now();
         ScheduledFuture<?> silence = later(SILENCE_MILLIS, () -> suspectSilent(bound.pool(), sent));
         bound.link()
@@ -94,10 +105,19 @@
                         statement,
                         reply -> {
                             silence.cancel(false);
-                            callback.accept(reply);
+                            boolean isDoubtful =
+                                    isCommit && reply.isDone() && !mayUse(bound.pool());
+                            callback.accept(
+                                    isDoubtful
+                                            ? ServerReply.lost("the primary may be replaced")
+                                            : reply);
                         });
     }
 
+    private boolean mayUse(ServerPool pool) {
+        return mGuard.mayUse(pool.server().service(), pool.server().id());
+    }
+
     private void suspectSilent(ServerPool pool, long sentNanos) {
         if (!pool.health().hasAnsweredSince(sentNanos)) {
             suspect(pool);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupDirectory.java
@@ -36,6 +36,7 @@
     private final long mLeavingNanos;
     private final LongSupplier mClock;
     private final TrafficCounters mCounters;
+    private final LeadGuard mGuard;
     private final Map<String, GroupState> mGroups = new HashMap<>();
 
     GroupDirectory(
@@ -43,7 +44,8 @@
             WireFormat format,
             GatewaySettings settings,
             LongSupplier clock,
-            TrafficCounters counters) {
+            TrafficCounters counters,
+            LeadGuard guard) {
         mLoop = loop;
         mFormat = format;
         mInstance = settings.instance();
@@ -54,10 +56,13 @@
                         Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
         mClock = clock;
         mCounters = counters;
+        mGuard = guard;
     }
 
     GroupState group(String service) {
-        return mGroups.computeIfAbsent(service, key -> new GroupState(mLeavingNanos));
+        return mGroups.computeIfAbsent(
+                service,
+                key -> new GroupState(mLeavingNanos, server -> mGuard.mayUse(key, server)));
     }
 
     /** Applies a new view: opens pools of new servers and closes those of servers that left. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.freshness.PositionSamples;
 import org.plantainferry.engine.placement.ReadCandidate;
@@ -23,6 +24,7 @@
     private final List<Runnable> mSampleWaiters = new ArrayList<>();
     private boolean mSampling;
     private final long mLeavingNanos;
+    private final Predicate<String> mMayLead;
     private String mPrimary = "";
     private String mHome = "";
 
@@ -30,9 +32,11 @@
      * Creates a group without servers.
      *
      * @param leavingNanos for how long a leaving primary takes new work
+     * @param mayLead whether a server may be used as the primary now
      */
-    GroupState(long leavingNanos) {
+    GroupState(long leavingNanos, Predicate<String> mayLead) {
         mLeavingNanos = leavingNanos;
+        mMayLead = mayLead;
     }
 
     PositionSamples samples() {
@@ -74,11 +78,12 @@
     }
 
     /**
-     * Returns the primary that control knows, unless it refused as a replica since or has been
-     * leaving for so long that it may end at any time.
+     * Returns the primary that control knows, unless it may be replaced, refused as a replica since
+     * or has been leaving for so long that it may end at any time.
      */
     Optional<ServerPool> primary(long nowNanos) {
         return Optional.ofNullable(mPools.get(mPrimary))
+                .filter(pool -> mMayLead.test(mPrimary))
                 .filter(pool -> !pool.health().isDeposed(nowNanos))
                 .filter(pool -> !pool.hasBeenLeavingSince(nowNanos - mLeavingNanos));
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
@@ -47,6 +47,18 @@
                 Optional.empty());
     }
 
+    /** Stands for the refusal of a server to which a statement was not sent. */
+    static ServerReply withheld(String reason) {
+        return new ServerReply(
+                Kind.FAILED,
+                List.of(),
+                "",
+                FailureCode.BUSY,
+                reason,
+                SessionMode.FAILED_TRANSACTION,
+                Optional.empty());
+    }
+
     boolean isDone() {
         return kind == Kind.DONE;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -51,6 +51,7 @@
      * @param suspicion where primaries that do not answer are reported
      * @param lender asks other instances for tokens
      * @param demandReports receives what the other instances are to be told of the demand here
+     * @param guard says which servers may be used as primaries
      */
     public TrafficServer(
             EventLoop loop,
@@ -61,11 +62,12 @@
             Supplier<PrimarySuspicion> suspicion,
             TokenLender lender,
             Consumer<Map<String, Double>> demandReports,
-            TrafficCounters counters) {
+            TrafficCounters counters,
+            LeadGuard guard) {
         mLoop = loop;
         mSettings = settings;
         mClock = clock;
-        mGroups = new GroupDirectory(loop, format, settings, clock, counters);
+        mGroups = new GroupDirectory(loop, format, settings, clock, counters, guard);
         LimitTerms terms =
                 new LimitTerms(
                         settings.rateWindowMillis() / 1_000.0,
@@ -84,7 +86,8 @@
                         mGroups,
                         new ReadPlacement(settings.failureDomain()),
                         clock,
-                        suspicion);
+                        suspicion,
+                        guard);
         mContext = new TrafficContext(loop, format, binder, admission, counters);
     }
 
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
@@ -14,7 +14,8 @@
                     + "'callerListener':'127.0.0.1:1','operatorListener':'127.0.0.1:2',"
                     + "'peerPort':3,'storeAddress':'127.0.0.1:4','ordersAddress':'127.0.0.1:5',"
                     + "'drainMillis':6000,"
-                    + "'serverDrainMillis':7000,'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
+                    + "'serverDrainMillis':7000,'platformFencesPrimaries':true,"
+                    + "'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
                     + "'rateExcess':0.1,'rateSlack':20}";
 
     private static GatewaySettings parse(String text) {
@@ -54,6 +55,7 @@
                     GOOD.replace("'peerPort':3", "'peerPort':3.5"),
                     GOOD.replace("'drainMillis':6000", "'drainMillis':null"),
                     GOOD.replace("'instance':'a'", "'instance':7"),
+                    GOOD.replace("'platformFencesPrimaries':true", "'platformFencesPrimaries':1"),
                     GOOD.replace("'rateExcess':0.1", "'rateExcess':'much'"),
                     "[]",
                     "",
