Keep small limits at one instance of each failure domain instead of dividing them among all

All instances told all others their demand.

Change: where an even part of rate and burst is below 4 operations, one instance of each failure domain keeps an equal part of the limit (LimitKeepers); the others ask the keeper of their own domain, then the other keepers, and may get a few tokens ahead, which lapse after 200 ms (BorrowedTokens). A refusal carries the keeper's time until the next token. Keepers that were silent are asked last. Demand is reported only where a limit is still divided by demand. A new process takes callers when it knows the other instances, or after 0.8 s without them.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/ShareBucket.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/ShareBucket.java
@@ -41,6 +41,22 @@
         return true;
     }
 
+    /**
+     * Takes tokens; more than one only out of the upper half of the capacity.
+     *
+     * @return how many were taken, from 0 to the number that is wanted
+     */
+    public int takeUpTo(int wanted, long nowNanos) {
+        int taken = 0;
+        while (taken < wanted && tryTake(nowNanos)) {
+            taken++;
+            if (mTokens < mCapacity / 2) {
+                break;
+            }
+        }
+        return taken;
+    }
+
     /** Returns the milliseconds until a token is due, at least 1. */
     public long millisUntilToken(long nowNanos, long atMostMillis) {
         refill(nowNanos);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.plantainferry.gateway.traffic.LeadGuard;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.SessionCounts;
+import org.plantainferry.gateway.traffic.TokenGrant;
 import org.plantainferry.gateway.traffic.TrafficCounters;
 import org.plantainferry.gateway.traffic.TrafficServer;
 
@@ -93,8 +95,9 @@
         mFleet.onDemand(demandPerSecond);
     }
 
-    private void borrow(String workspace, Consumer<Boolean> callback) {
-        mFleet.lender().borrow(workspace, callback);
+    private void borrow(
+            String workspace, List<String> lenders, int wanted, Consumer<TokenGrant> callback) {
+        mFleet.lender().borrow(workspace, lenders, wanted, callback);
     }
 
     private boolean isReady() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -30,6 +30,8 @@
     private static final long INSTANCES_WAIT_MILLIS = 20_000;
     private static final long LAPSE_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
+    // Limits are divided by the list of instances; without it a new process would use them whole.
+    private static final long INSTANCES_PATIENCE_MILLIS = 800;
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
@@ -41,6 +43,7 @@
     private RoutingConfiguration mConfiguration = RoutingConfiguration.EMPTY;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private boolean mCatalogRead;
+    private boolean mInstancesRead;
     private boolean mLapseTimer;
     private final ConfirmedVersion mConfirmed;
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
@@ -100,9 +103,18 @@
                                     new ServersListener())
                             .start();
                     register();
+                    mLoop.schedule(
+                            this::endPatience, INSTANCES_PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
                 });
     }
 
+    private void endPatience() {
+        if (!mInstancesRead) {
+            mInstancesRead = true;
+            publish();
+        }
+    }
+
     private void register() {
         InstanceEntry entry =
                 new InstanceEntry(
@@ -135,7 +147,7 @@
         return mView;
     }
 
-    /** Returns whether a configuration and the servers are known. */
+    /** Returns whether a configuration, the servers and the instances are known. */
     public boolean isReady() {
         return mReady;
     }
@@ -146,7 +158,7 @@
         Map<String, String> domains = new HashMap<>();
         others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
         mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), domains);
-        mReady = mConfiguration.version() > 0 && mCatalogRead;
+        mReady = mConfiguration.version() > 0 && mCatalogRead && mInstancesRead;
         mListener.onView(mView, others);
     }
 
@@ -272,6 +284,7 @@
         @Override
         public void onAll(FeedPage<InstanceEntry> page, long sentNanos, long awayNanos) {
             mInstances.clear();
+            mInstancesRead = true;
             apply(page);
         }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -66,7 +66,7 @@
         mPoll = new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
         mConfirmations =
                 new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
-        mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, new Random());
+        mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, clock, new Random());
         mLeads = new LeadExchange(loop, settings, peers, clock, guard, new Random());
         mGuardsPrimaries = !settings.platformFencesPrimaries();
         ReplacementTools tools =
@@ -130,7 +130,7 @@
             case DEMAND_REPORT ->
                     mDemand.onReport(message.getInstance(), message.getDemandReport());
             case TOKEN_QUESTION -> mTokens.onQuestion(message.getTokenQuestion(), sender);
-            case TOKEN_ANSWER -> mTokens.onAnswer(message.getTokenAnswer());
+            case TOKEN_ANSWER -> mTokens.onAnswer(message.getInstance(), message.getTokenAnswer());
             case CONFIRMATION_QUESTION ->
                     mConfirmations.onQuestion(message.getConfirmationQuestion(), sender);
             case CONFIRMATION_ANSWER -> mConfirmations.onAnswer(message.getConfirmationAnswer());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/TokenExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/TokenExchange.java
@@ -4,17 +4,21 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
 import org.plantainferry.gateway.peer.generated.TokenAnswer;
 import org.plantainferry.gateway.peer.generated.TokenQuestion;
 import org.plantainferry.gateway.spi.InstanceEntry;
+import org.plantainferry.gateway.traffic.TokenGrant;
 import org.plantainferry.gateway.traffic.TokenLender;
 import org.plantainferry.gateway.traffic.TrafficServer;
 
@@ -25,7 +29,8 @@
  */
 final class TokenExchange implements TokenLender {
     private static final int MOST_ASKED = 3;
-    private static final long ANSWER_MILLIS = 15;
+    private static final long ANSWER_MILLIS = 25;
+    private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -33,20 +38,39 @@
     private final PeerChannel mPeers;
     private final Random mRandom;
     private final Map<Long, Loan> mLoans = new HashMap<>();
+    private final Map<String, Long> mSilentUntil = new HashMap<>();
+    private final LongSupplier mClock;
     private Map<String, InstanceEntry> mOthers = Map.of();
     private long mNextNumber;
 
-    /** Holds one wish for a token. */
+    /** Holds one wish for tokens. */
     private static final class Loan {
         private final String mWorkspace;
         private final List<InstanceEntry> mLeft;
-        private final Consumer<Boolean> mCallback;
+        private final int mWanted;
+        private final Consumer<TokenGrant> mCallback;
+        private TokenGrant mBest = TokenGrant.NONE;
 
-        Loan(String workspace, List<InstanceEntry> left, Consumer<Boolean> callback) {
+        Loan(
+                String workspace,
+                List<InstanceEntry> left,
+                int wanted,
+                Consumer<TokenGrant> callback) {
             mWorkspace = workspace;
             mLeft = left;
+            mWanted = wanted;
             mCallback = callback;
         }
+
+        /** Notes a refusal; the shortest known time to come back is the right one. */
+        void onRefused(TokenGrant refusal) {
+            boolean isSooner =
+                    mBest.retryAfterMillis() == 0
+                            || refusal.retryAfterMillis() < mBest.retryAfterMillis();
+            if (refusal.retryAfterMillis() > 0 && isSooner) {
+                mBest = refusal;
+            }
+        }
     }
 
     TokenExchange(
@@ -54,11 +78,13 @@
             String instance,
             TrafficServer traffic,
             PeerChannel peers,
+            LongSupplier clock,
             Random random) {
         mLoop = loop;
         mInstance = instance;
         mTraffic = traffic;
         mPeers = peers;
+        mClock = clock;
         mRandom = random;
         mNextNumber = random.nextLong() >>> 1;
     }
@@ -68,20 +94,33 @@
     }
 
     @Override
-    public void borrow(String workspace, Consumer<Boolean> callback) {
-        mLoop.execute(() -> begin(workspace, callback));
+    public void borrow(
+            String workspace, List<String> lenders, int wanted, Consumer<TokenGrant> callback) {
+        mLoop.execute(() -> ask(new Loan(workspace, lenders(lenders), wanted, callback)));
+    }
+
+    /** Returns whom to ask; those that have not answered lately come last. */
+    private List<InstanceEntry> lenders(List<String> named) {
+        List<InstanceEntry> lenders = new ArrayList<>();
+        if (named.isEmpty()) {
+            lenders.addAll(mOthers.values());
+            Collections.shuffle(lenders, mRandom);
+            lenders = new ArrayList<>(lenders.subList(0, Math.min(MOST_ASKED, lenders.size())));
+        } else {
+            named.stream().map(mOthers::get).filter(Objects::nonNull).forEach(lenders::add);
+        }
+        lenders.sort(Comparator.comparing(this::isSilent));
+        return lenders;
     }
 
-    private void begin(String workspace, Consumer<Boolean> callback) {
-        List<InstanceEntry> others = new ArrayList<>(mOthers.values());
-        Collections.shuffle(others, mRandom);
-        int asked = Math.min(MOST_ASKED, others.size());
-        ask(new Loan(workspace, new ArrayList<>(others.subList(0, asked)), callback));
+    private boolean isSilent(InstanceEntry instance) {
+        Long until = mSilentUntil.get(instance.name());
+        return until != null && mClock.getAsLong() - until < 0;
     }
 
     private void ask(Loan loan) {
         if (loan.mLeft.isEmpty()) {
-            mTraffic.run(() -> loan.mCallback.accept(false));
+            mTraffic.run(() -> loan.mCallback.accept(loan.mBest));
             return;
         }
         InstanceEntry lender = loan.mLeft.remove(0);
@@ -89,40 +128,56 @@
         long number = mNextNumber;
         mLoans.put(number, loan);
         TokenQuestion.Builder question =
-                TokenQuestion.newBuilder().setNumber(number).setWorkspace(loan.mWorkspace);
+                TokenQuestion.newBuilder()
+                        .setNumber(number)
+                        .setWorkspace(loan.mWorkspace)
+                        .setWanted(loan.mWanted);
         mPeers.send(
                 InstanceMessage.newBuilder()
                         .setInstance(mInstance)
                         .setTokenQuestion(question)
                         .build(),
                 lender.peerAddress());
-        mLoop.schedule(() -> onAnswer(number, false), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        mLoop.schedule(() -> onSilence(number, lender), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void onAnswer(long number, boolean granted) {
+    private void onSilence(long number, InstanceEntry lender) {
         Loan loan = mLoans.remove(number);
+        if (loan != null) {
+            mSilentUntil.put(lender.name(), mClock.getAsLong() + SILENT_NANOS);
+            ask(loan);
+        }
+    }
+
+    void onAnswer(String instance, TokenAnswer answer) {
+        mSilentUntil.remove(instance);
+        Loan loan = mLoans.remove(answer.getNumber());
         if (loan == null) {
             return;
         }
-        if (granted) {
-            mTraffic.run(() -> loan.mCallback.accept(true));
+        if (answer.getGranted()) {
+            TokenGrant grant = new TokenGrant(Math.max(1, answer.getTokens()), 0);
+            mTraffic.run(() -> loan.mCallback.accept(grant));
             return;
         }
+        loan.onRefused(new TokenGrant(0, answer.getRetryAfterMillis()));
         ask(loan);
     }
 
-    void onAnswer(TokenAnswer answer) {
-        onAnswer(answer.getNumber(), answer.getGranted());
-    }
-
     void onQuestion(TokenQuestion question, InetSocketAddress sender) {
         mTraffic.lend(
                 question.getWorkspace(),
-                granted -> mLoop.execute(() -> reply(question.getNumber(), granted, sender)));
+                Math.max(1, question.getWanted()),
+                grant -> mLoop.execute(() -> reply(question.getNumber(), grant, sender)));
     }
 
-    private void reply(long number, boolean granted, InetSocketAddress sender) {
-        TokenAnswer.Builder answer = TokenAnswer.newBuilder().setNumber(number).setGranted(granted);
+    private void reply(long number, TokenGrant grant, InetSocketAddress sender) {
+        TokenAnswer.Builder answer =
+                TokenAnswer.newBuilder()
+                        .setNumber(number)
+                        .setGranted(grant.granted())
+                        .setTokens(grant.tokens())
+                        .setRetryAfterMillis(grant.retryAfterMillis());
         mPeers.send(
                 InstanceMessage.newBuilder().setInstance(mInstance).setTokenAnswer(answer).build(),
                 sender);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -73,7 +73,15 @@
                         settings.rateWindowMillis() / 1_000.0,
                         settings.rateExcess(),
                         settings.rateSlack());
-        mLimits = new WorkspaceLimits(view, terms, System::nanoTime, lender, demandReports);
+        mLimits =
+                new WorkspaceLimits(
+                        settings.instance(),
+                        settings.failureDomain(),
+                        view,
+                        terms,
+                        System::nanoTime,
+                        lender,
+                        demandReports);
         AdmissionControl admission =
                 new AdmissionControl(
                         view,
@@ -132,9 +140,9 @@
         mLoop.execute(() -> mLimits.onReport(instance, demandPerSecond));
     }
 
-    /** Takes a token for another instance; the callback runs on the traffic thread. */
-    public void lend(String workspace, Consumer<Boolean> callback) {
-        mLoop.execute(() -> callback.accept(mLimits.lend(workspace)));
+    /** Takes tokens for another instance; the callback runs on the traffic thread. */
+    public void lend(String workspace, int wanted, Consumer<TokenGrant> callback) {
+        mLoop.execute(() -> callback.accept(mLimits.lend(workspace, wanted)));
     }
 
     /** Sends statements for a server through another instance for a while; for any thread. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceLimits.java
@@ -1,6 +1,8 @@
 package org.plantainferry.gateway.traffic;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -8,8 +10,10 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.WorkspaceLimit;
+import org.plantainferry.engine.quota.BorrowedTokens;
 import org.plantainferry.engine.quota.DemandRate;
 import org.plantainferry.engine.quota.DemandShares;
+import org.plantainferry.engine.quota.LimitKeepers;
 import org.plantainferry.engine.quota.LimitTerms;
 import org.plantainferry.engine.quota.ReportPolicy;
 import org.plantainferry.engine.quota.ShareBucket;
@@ -17,6 +21,9 @@
 /**
  * Holds the share of this instance in the limit of each workspace.
  *
+ * <p>Limits that are large for the fleet are divided by demand; small ones are kept by a few
+ * instances, which the others ask (see {@link LimitKeepers}).
+ *
  * <p>Used by the traffic thread only.
  */
 final class WorkspaceLimits {
@@ -29,6 +36,7 @@
     private static final class Share {
         private final DemandRate mDemand;
         private final ShareBucket mBucket;
+        private final BorrowedTokens mBorrowed = new BorrowedTokens();
         private double mReportedDemand;
         private double mPart;
         private long mResizedNanos;
@@ -42,11 +50,17 @@
         }
 
         /** When nobody has a token, further questions would only repeat the answer. */
-        void noteAsked(boolean granted, long nowNanos) {
-            mAskAgainNanos = granted ? nowNanos : nowNanos + ASK_PAUSE_NANOS;
+        void noteAsked(TokenGrant grant, long nowNanos) {
+            long pause = ASK_PAUSE_NANOS;
+            if (grant.retryAfterMillis() > 0) {
+                pause = Math.min(pause, TimeUnit.MILLISECONDS.toNanos(grant.retryAfterMillis()));
+            }
+            mAskAgainNanos = grant.granted() ? nowNanos : nowNanos + pause;
         }
     }
 
+    private final String mInstance;
+    private final String mFailureDomain;
     private final Supplier<FleetView> mView;
     private final LimitTerms mTerms;
     private final LongSupplier mSteadyClock;
@@ -56,13 +70,20 @@
     private long mReportCheckNanos;
     private final DemandShares mShares = new DemandShares();
     private final Map<String, Share> mByWorkspace = new HashMap<>();
+    private Map<String, String> mKeepersOf = Map.of();
+    private LimitKeepers mKeepers;
 
     WorkspaceLimits(
+            String instance,
+            String failureDomain,
             Supplier<FleetView> view,
             LimitTerms terms,
             LongSupplier steadyClock,
             TokenLender lender,
             Consumer<Map<String, Double>> reports) {
+        mInstance = instance;
+        mFailureDomain = failureDomain;
+        mKeepers = new LimitKeepers(failureDomain, Map.of(instance, failureDomain));
         mView = view;
         mTerms = terms;
         mSteadyClock = steadyClock;
@@ -79,6 +100,11 @@
      *     which to come back; it runs once, now or after other instances were asked for a token
      */
     void take(String workspace, Consumer<Optional<Long>> callback) {
+        WorkspaceLimit limit = mView.get().configuration().limits().get(workspace);
+        if (limit != null && keepers().isKept(limit)) {
+            takeKept(workspace, limit, callback);
+            return;
+        }
         Optional<Long> retryAfterMillis = takeHere(workspace, true);
         if (retryAfterMillis.isEmpty() || !mayAsk(workspace)) {
             callback.accept(retryAfterMillis);
@@ -86,12 +112,89 @@
         }
         mLender.borrow(
                 workspace,
-                granted -> {
-                    mByWorkspace.get(workspace).noteAsked(granted, mSteadyClock.getAsLong());
-                    callback.accept(granted ? Optional.empty() : retryAfterMillis);
+                List.of(),
+                1,
+                grant -> {
+                    noteAsked(workspace, grant);
+                    callback.accept(grant.granted() ? Optional.empty() : retryAfterMillis);
                 });
     }
 
+    private void noteAsked(String workspace, TokenGrant grant) {
+        Share share = mByWorkspace.get(workspace);
+        if (share != null) {
+            share.noteAsked(grant, mSteadyClock.getAsLong());
+        }
+    }
+
+    /** Returns the keepers for the present view. */
+    private LimitKeepers keepers() {
+        Map<String, String> others = mView.get().otherDomains();
+        if (others != mKeepersOf) {
+            Map<String, String> all = new HashMap<>(others);
+            all.put(mInstance, mFailureDomain);
+            mKeepers = new LimitKeepers(mFailureDomain, all);
+            mKeepersOf = others;
+        }
+        return mKeepers;
+    }
+
+    /** Takes a token of a limit that a few instances keep. */
+    private void takeKept(
+            String workspace, WorkspaceLimit limit, Consumer<Optional<Long>> callback) {
+        long now = mSteadyClock.getAsLong();
+        Share share = share(workspace, now);
+        share.mDemand.count(now);
+        List<String> lenders = new ArrayList<>(mKeepers.keepers(workspace));
+        boolean isKeeper = lenders.remove(mInstance);
+        if (share.mBorrowed.tryTake(now) || (isKeeper && bucket(share, limit).tryTake(now))) {
+            callback.accept(Optional.empty());
+            return;
+        }
+        long ownMillis =
+                isKeeper
+                        ? share.mBucket.millisUntilToken(now, LONGEST_RETRY_MILLIS)
+                        : LONGEST_RETRY_MILLIS;
+        if (!mayAsk(workspace)) {
+            long pause = TimeUnit.NANOSECONDS.toMillis(share.mAskAgainNanos - now) + 1;
+            callback.accept(Optional.of(Math.min(ownMillis, pause)));
+            return;
+        }
+        mLender.borrow(
+                workspace,
+                lenders,
+                BorrowedTokens.wanted(share.mDemand.perSecond(now)),
+                grant -> onGrant(workspace, grant, ownMillis, callback));
+    }
+
+    private void onGrant(
+            String workspace, TokenGrant grant, long ownMillis, Consumer<Optional<Long>> callback) {
+        noteAsked(workspace, grant);
+        if (grant.granted()) {
+            long now = mSteadyClock.getAsLong();
+            share(workspace, now).mBorrowed.add(grant.tokens() - 1, now);
+            callback.accept(Optional.empty());
+            return;
+        }
+        long theirs = grant.retryAfterMillis();
+        callback.accept(Optional.of(theirs == 0 ? ownMillis : Math.min(ownMillis, theirs)));
+    }
+
+    private Share share(String workspace, long nowNanos) {
+        return mByWorkspace.computeIfAbsent(workspace, key -> new Share(nowNanos));
+    }
+
+    /** Returns the bucket of a keeper with its present part of the limit. */
+    private ShareBucket bucket(Share share, WorkspaceLimit limit) {
+        int keepers = mKeepers.domains();
+        WorkspaceLimit part = LimitKeepers.part(limit, keepers);
+        share.mBucket.resize(
+                part.ratePerSecond(),
+                part.burst() + mTerms.extraTokens(limit, keepers),
+                mSteadyClock.getAsLong());
+        return share.mBucket;
+    }
+
     /** Describes what decides about a workspace here, for logs. */
     String describe(String workspace) {
         Share share = mByWorkspace.get(workspace);
@@ -100,6 +203,13 @@
             return "no limit";
         }
         long now = mSteadyClock.getAsLong();
+        if (keepers().isKept(limit)) {
+            return String.format(
+                    "rate=%.1f keepers=%s demand=%.2f",
+                    limit.ratePerSecond(),
+                    mKeepers.keepers(workspace),
+                    share.mDemand.perSecond(now));
+        }
         return String.format(
                 "rate=%.1f part=%.4f demand=%.2f reported=%.2f others=%s",
                 limit.ratePerSecond(),
@@ -109,10 +219,34 @@
                 mShares.describe(workspace, mView.get().otherInstances(), now));
     }
 
-    /** Takes a token for an operation of another instance; returns whether there was one. */
-    boolean lend(String workspace) {
-        return mView.get().configuration().limits().containsKey(workspace)
-                && takeHere(workspace, false).isEmpty();
+    /**
+     * Takes tokens for operations of another instance.
+     *
+     * @param wanted how many it can use; more than one are granted only while many are left
+     */
+    TokenGrant lend(String workspace, int wanted) {
+        WorkspaceLimit limit = mView.get().configuration().limits().get(workspace);
+        if (limit == null) {
+            return TokenGrant.NONE;
+        }
+        if (keepers().isKept(limit)) {
+            return lendKept(workspace, limit, wanted);
+        }
+        return takeHere(workspace, false)
+                .map(retryAfterMillis -> new TokenGrant(0, retryAfterMillis))
+                .orElse(new TokenGrant(1, 0));
+    }
+
+    private TokenGrant lendKept(String workspace, WorkspaceLimit limit, int wanted) {
+        if (!mKeepers.keepers(workspace).contains(mInstance)) {
+            return TokenGrant.NONE;
+        }
+        long now = mSteadyClock.getAsLong();
+        ShareBucket bucket = bucket(share(workspace, now), limit);
+        int tokens = bucket.takeUpTo(wanted, now);
+        return tokens > 0
+                ? new TokenGrant(tokens, 0)
+                : new TokenGrant(0, bucket.millisUntilToken(now, LONGEST_RETRY_MILLIS));
     }
 
     private boolean mayAsk(String workspace) {
@@ -126,7 +260,7 @@
             return Optional.empty();
         }
         long now = mSteadyClock.getAsLong();
-        Share share = mByWorkspace.computeIfAbsent(workspace, key -> new Share(now));
+        Share share = share(workspace, now);
         if (isOwnDemand) {
             share.mDemand.count(now);
             if (now - mReportCheckNanos >= REPORT_CHECK_NANOS) {
@@ -172,8 +306,19 @@
         long now = mSteadyClock.getAsLong();
         mReportCheckNanos = now;
         Map<String, Double> demand = new HashMap<>();
+        Map<String, WorkspaceLimit> limits = mView.get().configuration().limits();
+        LimitKeepers keepers = keepers();
+        if (limits.values().stream().allMatch(keepers::isKept)) {
+            // Nobody divides a limit by what others report.
+            return;
+        }
         mByWorkspace.forEach(
-                (workspace, share) -> demand.put(workspace, share.mDemand.perSecond(now)));
+                (workspace, share) -> {
+                    WorkspaceLimit limit = limits.get(workspace);
+                    if (limit != null && !keepers.isKept(limit)) {
+                        demand.put(workspace, share.mDemand.perSecond(now));
+                    }
+                });
         if (!mReportPolicy.takeDue(demand, now)) {
             return;
         }
