Count instances for the lead lease; let instances take turns at scarce connections

Change: leases and fence rounds count instances; members of a domain are counted by the instance that speaks for it, from questions that repeat the stamp of its last answer.

Large fleets. Each instance sampled the positions of primaries for itself. Each event of a server or instance woke every watch.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainSpeakers.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainSpeakers.java
@@ -16,9 +16,8 @@
  * @since 0.2
  */
 public final class DomainSpeakers {
-    private static final long PASSED_OVER_NANOS = TimeUnit.SECONDS.toNanos(4);
-
     private final long mSubjectHash;
+    private final long mPassedOverNanos;
     private final Map<String, Long> mPassedOverUntil = new HashMap<>();
     private Map<String, String> mDomains = Map.of();
 
@@ -26,9 +25,11 @@
      * Creates a choice without instances.
      *
      * @param subject what is spoken about; instances rank differently for different subjects
+     * @param passedOverMillis for how long an instance is passed over
      */
-    public DomainSpeakers(String subject) {
+    public DomainSpeakers(String subject, long passedOverMillis) {
         mSubjectHash = RendezvousScore.hash(subject);
+        mPassedOverNanos = TimeUnit.MILLISECONDS.toNanos(passedOverMillis);
     }
 
     /** Takes over the instances, with the failure domain of each. */
@@ -39,7 +40,12 @@
 
     /** Passes over an instance that did not answer, or knew nothing recent. */
     public void passOver(String instance, long nowNanos) {
-        mPassedOverUntil.put(instance, nowNanos + PASSED_OVER_NANOS);
+        mPassedOverUntil.put(instance, nowNanos + mPassedOverNanos);
+    }
+
+    /** Notes that an instance was heard, which ends the time for which it is passed over. */
+    public void onHeard(String instance) {
+        mPassedOverUntil.remove(instance);
     }
 
     /** Returns the failure domains that have instances. */
--- /dev/null
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/DomainContacts.java
@@ -0,0 +1,59 @@
+package org.plantainferry.engine.promotion;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Remembers the recent contacts with the instances of one failure domain.
+ *
+ * <p>Those who speak for a domain may hear only a part of it for a moment, so a newer contact with
+ * fewer instances does not replace an older one with more. Times are monotonic nanoseconds. Used by
+ * one thread.
+ *
+ * @since 0.3
+ */
+final class DomainContacts {
+    private static final int MOST_KEPT = 24;
+
+    private final Deque<LeadLease.Contact> mContacts = new ArrayDeque<>();
+
+    /** Notes a contact, and forgets those that are too old to count. */
+    void add(LeadLease.Contact contact) {
+        mContacts.addLast(contact);
+        mContacts.removeIf(each -> contact.atNanos() - each.atNanos() > LeadLease.LEASE_NANOS);
+        if (mContacts.size() > MOST_KEPT) {
+            mContacts.removeFirst();
+        }
+    }
+
+    /** Returns the contacts that another instance needs to know: the newest and the largest. */
+    Set<LeadLease.Contact> best() {
+        Set<LeadLease.Contact> best = new LinkedHashSet<>();
+        mContacts.stream()
+                .max(Comparator.comparingLong(LeadLease.Contact::atNanos))
+                .ifPresent(best::add);
+        mContacts.stream()
+                .max(
+                        Comparator.comparingInt(LeadLease.Contact::instances)
+                                .thenComparingLong(LeadLease.Contact::atNanos))
+                .ifPresent(best::add);
+        return best;
+    }
+
+    /** Returns the times of the contacts. */
+    long[] times() {
+        return mContacts.stream().mapToLong(LeadLease.Contact::atNanos).toArray();
+    }
+
+    /** Returns with how many instances there was contact at or after a time. */
+    int instancesSince(long sinceNanos) {
+        return mContacts.stream()
+                .filter(each -> each.atNanos() - sinceNanos >= 0)
+                .mapToInt(LeadLease.Contact::instances)
+                .max()
+                .orElse(0);
+    }
+}
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/freshness/PositionSamplesTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/freshness/PositionSamplesTest.java
@@ -31,6 +31,17 @@
         assertEquals(samples.covering(200 * MILLI), Optional.of(at(3, 30)));
     }
 
+    @Test
+    public void tellsWithAPositionWhichTimeItCovers() {
+        PositionSamples samples = new PositionSamples();
+        samples.record(100 * MILLI, at(3, 10));
+        samples.record(300 * MILLI, at(3, 30));
+        assertEquals(
+                samples.sampleCovering(200 * MILLI),
+                Optional.of(new TimedPosition(at(3, 30), 300 * MILLI)));
+        assertEquals(samples.sampleCovering(400 * MILLI), Optional.empty());
+    }
+
     @Test
     public void ignoresALateAnswerOfAFormerPrimary() {
         PositionSamples samples = new PositionSamples();
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ConnectionPlanTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ConnectionPlanTest.java
@@ -46,6 +46,34 @@
         assertTrue(sum.get("p") <= 47);
     }
 
+    @Test
+    public void keepsIdleConnectionsLongWhereThereAreEnoughForAll() {
+        long idle =
+                new ConnectionPlan("i3", domains())
+                        .plan(SERVERS, Optional.of("p"), 47)
+                        .idleNanos()
+                        .get("p");
+        assertEquals(idle, 20_000_000_000L);
+    }
+
+    @Test
+    public void takesTurnsWhereInstancesOutnumberTheConnections() {
+        // The pattern: each of n instances uses a server once in n / 30 seconds for 50 ms.
+        for (int instances : new int[] {95, 139, 300, 520}) {
+            Map<String, String> many = new HashMap<>();
+            for (int index = 0; index < instances; index++) {
+                many.put("i" + index, "abcde".substring(index % 5, index % 5 + 1));
+            }
+            long idle =
+                    new ConnectionPlan("i3", many)
+                            .plan(SERVERS, Optional.of("p"), 66)
+                            .idleNanos()
+                            .get("p");
+            double open = 30 * (idle / 1e9 + 0.05);
+            assertTrue(open < 66, instances + " instances hold " + open);
+        }
+    }
+
     @Test
     public void givesEachInstanceAtLeastOneConnection() {
         Map<String, String> many = new HashMap<>();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -10,11 +10,13 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.SuspensionAwareClock;
+import org.plantainferry.engine.freshness.TimedPosition;
 import org.plantainferry.gateway.control.ControlPlane;
 import org.plantainferry.gateway.control.FleetController;
 import org.plantainferry.gateway.log.GatewayEvent;
@@ -69,6 +71,7 @@
                         clock,
                         this::suspicion,
                         this::borrow,
+                        this::askPosition,
                         this::reportDemand,
                         new TrafficCounters(mMeters),
                         guard);
@@ -95,6 +98,11 @@
         mFleet.onDemand(demandPerSecond);
     }
 
+    private void askPosition(
+            String service, long maximumAgeMillis, Consumer<Optional<TimedPosition>> callback) {
+        mFleet.positions().ask(service, maximumAgeMillis, callback);
+    }
+
     private void borrow(
             String workspace, List<String> lenders, int wanted, Consumer<TokenGrant> callback) {
         mFleet.lender().borrow(workspace, lenders, wanted, callback);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
@@ -21,6 +21,7 @@
 final class FeedFollower<T> {
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long LAST_RETRY_MILLIS = 800;
+    private static final long SERIES_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long READ_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Receives what the store holds. */
@@ -45,6 +46,7 @@
     private final String mName;
     private final Feed<T> mFeed;
     private final long mWaitMillis;
+    private final long mPauseMillis;
     private final LongSupplier mClock;
     private final Listener<T> mListener;
     private long mRetryMillis = FIRST_RETRY_MILLIS;
@@ -60,18 +62,22 @@
      * Creates a follower; {@link #start} begins to read.
      *
      * @param waitMillis how long one watch may wait, at most
+     * @param pauseMillis how long to gather further changes after one that came soon after the one
+     *     before; each watch is a call to the store, and changes often come in series
      */
     FeedFollower(
             EventLoop loop,
             String name,
             Feed<T> feed,
             long waitMillis,
+            long pauseMillis,
             LongSupplier clock,
             Listener<T> listener) {
         mLoop = loop;
         mName = name;
         mFeed = feed;
         mWaitMillis = waitMillis;
+        mPauseMillis = pauseMillis;
         mClock = clock;
         mListener = listener;
         mReadAgainNanos = clock.getAsLong() - READ_AGAIN_NANOS;
@@ -162,7 +168,19 @@
                         TimeUnit.MILLISECONDS.toNanos(waitMillis),
                         page.entries().isEmpty());
         mListener.onChanges(page, covered);
-        watch(page.revision());
+        boolean isSeries = mClock.getAsLong() - sentNanos < SERIES_NANOS;
+        if (!isSeries || mPauseMillis == 0) {
+            watch(page.revision());
+            return;
+        }
+        mLoop.schedule(
+                () -> {
+                    if (round == mRound) {
+                        watch(page.revision());
+                    }
+                },
+                mPauseMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     private void onWatchFailure(Throwable failure, long sentNanos) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -14,6 +14,7 @@
 import org.plantainferry.gateway.spi.PlatformConnection;
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.LeadGuard;
+import org.plantainferry.gateway.traffic.PositionSource;
 import org.plantainferry.gateway.traffic.PrimarySuspicion;
 import org.plantainferry.gateway.traffic.ServerProbe;
 import org.plantainferry.gateway.traffic.TokenLender;
@@ -22,8 +23,8 @@
 /**
  * Joins the parts of control that work together with other instances.
  *
- * <p>Used by the control thread only, except {@link #start}, {@link #suspicion} and {@link
- * #lender}.
+ * <p>Used by the control thread only, except {@link #start}, {@link #suspicion}, {@link #positions}
+ * and {@link #lender}.
  *
  * @since 0.2
  */
@@ -35,6 +36,7 @@
     private final TokenExchange mTokens;
     private final ConfirmationExchange mConfirmations;
     private final LeadExchange mLeads;
+    private final PositionExchange mPositions;
     private final boolean mGuardsPrimaries;
     private final PrimaryKeeper mKeeper;
 
@@ -67,6 +69,7 @@
         mConfirmations =
                 new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
         mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, clock, new Random());
+        mPositions = new PositionExchange(loop, settings, traffic, peers, clock, new Random());
         mLeads = new LeadExchange(loop, settings, peers, clock, guard, new Random());
         mGuardsPrimaries = !settings.platformFencesPrimaries();
         ReplacementTools tools =
@@ -110,6 +113,11 @@
         mDemand.onDemand(demandPerSecond);
     }
 
+    /** Returns where traffic gets log positions from. */
+    public PositionSource positions() {
+        return mPositions;
+    }
+
     /** Returns where traffic borrows tokens. */
     public TokenLender lender() {
         return mTokens;
@@ -122,6 +130,7 @@
         mTokens.onOthers(others);
         mConfirmations.onOthers(others);
         mLeads.onOthers(others);
+        mPositions.onOthers(others);
         mKeeper.onView(view);
     }
 
@@ -134,7 +143,10 @@
             case CONFIRMATION_QUESTION ->
                     mConfirmations.onQuestion(message.getConfirmationQuestion(), sender);
             case CONFIRMATION_ANSWER -> mConfirmations.onAnswer(message.getConfirmationAnswer());
-            case LEAD_QUESTION -> mLeads.onQuestion(message.getLeadQuestion(), sender);
+            case POSITION_QUESTION -> mPositions.onQuestion(message.getPositionQuestion(), sender);
+            case POSITION_ANSWER -> mPositions.onAnswer(message.getPositionAnswer());
+            case LEAD_QUESTION ->
+                    mLeads.onQuestion(message.getInstance(), message.getLeadQuestion(), sender);
             case LEAD_ANSWER -> mLeads.onAnswer(message.getLeadAnswer());
             case LEAD_FENCE -> mLeads.onNotice(message.getLeadFence(), sender);
             case LEAD_FENCE_CONFIRMATION ->
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PositionExchange.java
@@ -0,0 +1,175 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.freshness.PeerAge;
+import org.plantainferry.engine.freshness.TimedPosition;
+import org.plantainferry.engine.membership.DomainSpeakers;
+import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.peer.generated.PositionAnswer;
+import org.plantainferry.gateway.peer.generated.PositionQuestion;
+import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.spi.InstanceEntry;
+import org.plantainferry.gateway.traffic.PositionSource;
+import org.plantainferry.gateway.traffic.TrafficServer;
+
+/**
+ * Shares samples of the log positions of primaries within a failure domain.
+ *
+ * <p>For each group one instance of the domain samples; the others ask it. Used by the control
+ * thread only, except {@link #ask}.
+ */
+final class PositionExchange implements PositionSource {
+    private static final long ANSWER_MILLIS = 80;
+    private static final long PASSED_OVER_MILLIS = 2_000;
+
+    private final EventLoop mLoop;
+    private final String mInstance;
+    private final String mFailureDomain;
+    private final TrafficServer mTraffic;
+    private final PeerChannel mPeers;
+    private final LongSupplier mClock;
+    private final Map<String, DomainSpeakers> mSpeakers = new HashMap<>();
+    private final Map<Long, Question> mQuestions = new HashMap<>();
+    private Map<String, InstanceEntry> mOthers = Map.of();
+    private Map<String, String> mDomains = Map.of();
+    private long mNumber;
+
+    private record Question(
+            String service,
+            String asked,
+            long sentNanos,
+            Consumer<Optional<TimedPosition>> callback) {}
+
+    PositionExchange(
+            EventLoop loop,
+            GatewaySettings settings,
+            TrafficServer traffic,
+            PeerChannel peers,
+            LongSupplier clock,
+            Random random) {
+        mLoop = loop;
+        mInstance = settings.instance();
+        mFailureDomain = settings.failureDomain();
+        mTraffic = traffic;
+        mPeers = peers;
+        mClock = clock;
+        // Answers to questions of an earlier process of this instance must not match.
+        mNumber = random.nextLong() >>> 1;
+    }
+
+    void onOthers(Map<String, InstanceEntry> others) {
+        mOthers = others;
+        Map<String, String> domains = new HashMap<>();
+        others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
+        domains.put(mInstance, mFailureDomain);
+        mDomains = domains;
+        mSpeakers.values().forEach(speakers -> speakers.onInstances(domains));
+    }
+
+    @Override
+    public void ask(
+            String service, long maximumAgeMillis, Consumer<Optional<TimedPosition>> callback) {
+        mLoop.execute(() -> begin(service, maximumAgeMillis, callback));
+    }
+
+    private void begin(
+            String service, long maximumAgeMillis, Consumer<Optional<TimedPosition>> callback) {
+        long now = mClock.getAsLong();
+        Optional<InstanceEntry> sampler =
+                speakers(service).speaker(mFailureDomain, now).map(mOthers::get);
+        if (sampler.isEmpty()) {
+            mTraffic.run(() -> callback.accept(Optional.empty()));
+            return;
+        }
+        mNumber++;
+        long number = mNumber;
+        mQuestions.put(number, new Question(service, sampler.get().name(), now, callback));
+        PositionQuestion.Builder question =
+                PositionQuestion.newBuilder()
+                        .setNumber(number)
+                        .setService(service)
+                        .setMaximumAgeMillis(maximumAgeMillis);
+        mPeers.send(
+                InstanceMessage.newBuilder()
+                        .setInstance(mInstance)
+                        .setPositionQuestion(question)
+                        .build(),
+                sampler.get().peerAddress());
+        mLoop.schedule(() -> onSilence(number), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private DomainSpeakers speakers(String service) {
+        return mSpeakers.computeIfAbsent(
+                service,
+                key -> {
+                    DomainSpeakers speakers =
+                            new DomainSpeakers("position " + key, PASSED_OVER_MILLIS);
+                    speakers.onInstances(mDomains);
+                    return speakers;
+                });
+    }
+
+    private void onSilence(long number) {
+        Question question = mQuestions.remove(number);
+        if (question != null) {
+            speakers(question.service).passOver(question.asked, mClock.getAsLong());
+            mTraffic.run(() -> question.callback.accept(Optional.empty()));
+        }
+    }
+
+    void onAnswer(PositionAnswer answer) {
+        Question question = mQuestions.remove(answer.getNumber());
+        if (question == null) {
+            return;
+        }
+        Optional<TimedPosition> position = Optional.empty();
+        boolean isPossible = answer.getTerm() >= 0 && answer.getPosition() >= 0;
+        if (answer.getKnown() && isPossible) {
+            // The sampler's age counts back from the sending of the question, which is earlier
+            // than its answer.
+            long age = PeerAge.nanos(answer.getAgeMillis());
+            position =
+                    Optional.of(
+                            new TimedPosition(
+                                    new LogPosition(answer.getTerm(), answer.getPosition()),
+                                    question.sentNanos - age));
+        }
+        Optional<TimedPosition> result = position;
+        mTraffic.run(() -> question.callback.accept(result));
+    }
+
+    void onQuestion(PositionQuestion question, InetSocketAddress sender) {
+        mTraffic.sample(
+                question.getService(),
+                question.getMaximumAgeMillis(),
+                sample -> mLoop.execute(() -> reply(question.getNumber(), sample, sender)));
+    }
+
+    private void reply(long number, Optional<TimedPosition> sample, InetSocketAddress sender) {
+        PositionAnswer.Builder answer = PositionAnswer.newBuilder().setNumber(number);
+        sample.ifPresent(
+                each -> {
+                    long age = Math.max(0, mClock.getAsLong() - each.sentNanos());
+                    answer.setKnown(true)
+                            .setTerm(each.position().term())
+                            .setPosition(each.position().position())
+                            .setAgeMillis(PeerAge.millis(age));
+                });
+        mPeers.send(
+                InstanceMessage.newBuilder()
+                        .setInstance(mInstance)
+                        .setPositionAnswer(answer)
+                        .build(),
+                sender);
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -17,6 +17,7 @@
  * @param serverDrainMillis for how long a leaving server takes work, at most
  * @param platformFencesPrimaries whether a former primary loses the lead as another one is ordered;
  *     otherwise it may go on while it is cut off, and the instances guard against using it
+ * @param configurationMillis how soon a change of the configuration must be in force
  * @param keyWithdrawalMillis how soon a withdrawn key must have stopped working
  * @param rateWindowMillis the window over which the rate of a workspace is judged
  * @param rateExcess the part by which a workspace may exceed its limit in the window
@@ -35,6 +36,7 @@
         long drainMillis,
         long serverDrainMillis,
         boolean platformFencesPrimaries,
+        long configurationMillis,
         long keyWithdrawalMillis,
         long rateWindowMillis,
         double rateExcess,
@@ -53,6 +55,7 @@
         Preconditions.condition(peerPort > 0 && peerPort <= MAX_PORT, "peerPort is out of range");
         Preconditions.condition(drainMillis > 0, "drainMillis must be positive");
         Preconditions.condition(serverDrainMillis > 0, "serverDrainMillis must be positive");
+        Preconditions.condition(configurationMillis > 0, "configurationMillis must be positive");
         Preconditions.condition(keyWithdrawalMillis > 0, "keyWithdrawalMillis must be positive");
         Preconditions.condition(rateWindowMillis > 0, "rateWindowMillis must be positive");
         Preconditions.condition(rateExcess >= 0, "rateExcess must not be negative");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -75,6 +75,7 @@
                         whole("drainMillis"),
                         whole("serverDrainMillis"),
                         flag("platformFencesPrimaries"),
+                        whole("configurationMillis"),
                         whole("keyWithdrawalMillis"),
                         whole("rateWindowMillis"),
                         number("rateExcess"),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
@@ -28,6 +28,7 @@
     private final HedgeBudget mHedges = new HedgeBudget();
     private final LongSupplier mClock;
     private final Supplier<PrimarySuspicion> mSuspicion;
+    private final PositionSource mPositions;
     private final LeadGuard mGuard;
 
     Binder(
@@ -36,12 +37,14 @@
             ReadPlacement placement,
             LongSupplier clock,
             Supplier<PrimarySuspicion> suspicion,
+            PositionSource positions,
             LeadGuard guard) {
         mLoop = loop;
         mGroups = groups;
         mPlacement = placement;
         mClock = clock;
         mSuspicion = suspicion;
+        mPositions = positions;
         mGuard = guard;
     }
 
@@ -66,6 +69,10 @@
         return mHedges;
     }
 
+    PositionSource positions() {
+        return mPositions;
+    }
+
     /** Reports that a server which should be the primary does not answer. */
     void suspect(ServerPool pool) {
         mSuspicion.get().onSuspected(pool.server().service(), pool.server().id());
@@ -114,6 +121,11 @@
                         });
     }
 
+    /** Returns whether this instance may use primaries at all. */
+    boolean mayUsePrimaries() {
+        return mGuard.isHeld();
+    }
+
     private boolean mayUse(ServerPool pool) {
         return mGuard.mayUse(pool.server().service(), pool.server().id());
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -96,17 +96,20 @@
     }
 
     private void enqueue(CallerMessage.Request request) {
+        mQueue.addLast(request);
         if (mQueue.size() >= MOST_QUEUED) {
-            close();
-            return;
+            // What the caller sends meanwhile waits in its socket.
+            mWriter.setReading(false);
         }
-        mQueue.addLast(request);
         runNext();
     }
 
     private void runNext() {
         while (!mRunning && !mClosed && !mQueue.isEmpty()) {
             CallerMessage.Request request = mQueue.pollFirst();
+            if (mQueue.size() == MOST_QUEUED / 2) {
+                mWriter.setReading(true);
+            }
             stopIdleTimer();
             mRunning = true;
             run(request);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerWriter.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerWriter.java
@@ -52,4 +52,9 @@
     private void write(String text) {
         mChannel.writeAndFlush(text, mChannel.voidPromise());
     }
+
+    /** Goes on or stops reading what the caller sends. */
+    void setReading(boolean reading) {
+        mChannel.config().setAutoRead(reading);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupState.java
@@ -88,6 +88,11 @@
                 .filter(pool -> !pool.hasBeenLeavingSince(nowNanos - mLeavingNanos));
     }
 
+    /** Returns whether instances outnumber the connections of the primary, so that they share. */
+    boolean sharesSamples(long nowNanos) {
+        return primary(nowNanos).filter(ServerPool::isScarce).isPresent();
+    }
+
     void setPrimary(Optional<String> server) {
         mPrimary = server.orElse("");
     }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
@@ -15,6 +15,7 @@
                     + "'peerPort':3,'storeAddress':'127.0.0.1:4','ordersAddress':'127.0.0.1:5',"
                     + "'drainMillis':6000,"
                     + "'serverDrainMillis':7000,'platformFencesPrimaries':true,"
+                    + "'configurationMillis':3000,"
                     + "'keyWithdrawalMillis':5000,'rateWindowMillis':5000,"
                     + "'rateExcess':0.1,'rateSlack':20}";
 
