--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -85,7 +85,7 @@
                 1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
     }
 
-    private void onView(FleetView view, Map<String, InstanceEntry> others) {
+    private void onView(FleetView view, Optional<Map<String, InstanceEntry>> others) {
         mTraffic.onView(view);
         mFleet.onView(view, others);
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
@@ -46,6 +47,7 @@
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private boolean mCatalogRead;
     private boolean mInstancesRead;
+    private boolean mPatienceEnded;
     private boolean mLapseTimer;
     private final ConfirmedVersion mConfirmed;
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
@@ -57,9 +59,9 @@
         /**
          * Receives a view.
          *
-         * @param instances the instances besides this one
+         * @param instances the instances besides this one; empty until they were read
          */
-        void onView(FleetView view, Map<String, InstanceEntry> instances);
+        void onView(FleetView view, Optional<Map<String, InstanceEntry>> instances);
     }
 
     /**
@@ -113,8 +115,8 @@
     }
 
     private void endPatience() {
+        mPatienceEnded = true;
         if (!mInstancesRead) {
-            mInstancesRead = true;
             publish();
         }
     }
@@ -163,8 +165,12 @@
         Map<String, String> domains = new HashMap<>();
         others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
         mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), domains);
-        mReady = mConfiguration.version() > 0 && mCatalogRead && mInstancesRead;
-        mListener.onView(mView, others);
+        mReady = mConfiguration.version() > 0 && mCatalogRead && isPatienceOver();
+        mListener.onView(mView, mInstancesRead ? Optional.of(others) : Optional.empty());
+    }
+
+    private boolean isPatienceOver() {
+        return mInstancesRead || mPatienceEnded;
     }
 
     /** Publishes a new time of confirmation, which needs no work of the listener. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -123,15 +124,24 @@
         return mTokens;
     }
 
-    /** Follows a new view. */
-    public void onView(FleetView view, Map<String, InstanceEntry> others) {
+    /**
+     * Follows a new view.
+     *
+     * @param others the instances besides this one; empty until they were read, because an instance
+     *     that takes itself for the only one would use primaries and limits as if it were
+     */
+    public void onView(FleetView view, Optional<Map<String, InstanceEntry>> others) {
+        others.ifPresent(this::onOthers);
+        mKeeper.onView(view);
+    }
+
+    private void onOthers(Map<String, InstanceEntry> others) {
         mDemand.onOthers(others);
         mPoll.onOthers(others);
         mTokens.onOthers(others);
         mConfirmations.onOthers(others);
         mLeads.onOthers(others);
         mPositions.onOthers(others);
-        mKeeper.onView(view);
     }
 
     private void onMessage(InstanceMessage message, InetSocketAddress sender) {
