Take test ports from below those of outgoing connections

Change: FreePorts gives each port below that range out once in a process; four copies in the verification module are one now. No main code of the gateway changed.

--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/Fleet.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/bench/Fleet.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -25,6 +24,7 @@
 import org.plantainferry.daemon.settings.DaemonSettings;
 import org.plantainferry.daemon.settings.ListenAddress;
 import org.plantainferry.network.store.InstanceRecord;
+import org.plantainferry.verification.standin.FreePorts;
 import org.plantainferry.verification.standin.store.StoreStandIn;
 
 /** Runs a store and instances in this process; counts the bytes of peers and store. */
@@ -163,10 +163,8 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+    static int freePort() {
+        return FreePorts.next("127.0.0.1");
     }
 
     @Override
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/DaemonProcess.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/DaemonProcess.java
@@ -12,6 +12,7 @@
 import org.plantainferry.api.InstanceId;
 import org.plantainferry.api.json.Json;
 import org.plantainferry.network.store.InstanceRecord;
+import org.plantainferry.verification.standin.FreePorts;
 
 /** Is one process of the daemon, which this runner started and ends by its process id. */
 final class DaemonProcess {
@@ -46,13 +47,12 @@
      */
     static DaemonProcess start(
             Place place,
-            FreePorts ports,
             String store,
             Path directory,
             java.util.function.UnaryOperator<String> relayed) {
-        String caller = ports.address(place.ip());
-        String peer = ports.address(place.ip());
-        String operator = ports.address(place.ip());
+        String caller = FreePorts.address(place.ip());
+        String peer = FreePorts.address(place.ip());
+        String operator = FreePorts.address(place.ip());
         Map<String, Object> settings =
                 Map.of(
                         "instance",
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Environment.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Environment.java
@@ -31,7 +31,6 @@
 
     private final Scenario mScenario;
     private final HistoryRecorder mRecorder;
-    private final FreePorts mPorts = new FreePorts();
     private final StoreStandIn mStore;
     private final TcpRelay mRelay = new TcpRelay();
     private final Groups mGroups;
@@ -46,7 +45,7 @@
         mScenario = scenario;
         mRecorder = recorder;
         mStore = new StoreStandIn(new InetSocketAddress("127.0.0.1", 0));
-        mGroups = new Groups(scenario.deployment(), mPorts);
+        mGroups = new Groups(scenario.deployment());
         mStoreClient =
                 new HttpPlatformStore(
                         mLoops,
@@ -54,7 +53,7 @@
                         Optional.empty(),
                         StoreTimeouts.DEFAULT);
         mWriter = new ConfigurationWriter(mStoreClient, recorder);
-        mFleet = new Fleet(scenario, mPorts, mStore, mRelay, recorder, directory);
+        mFleet = new Fleet(scenario, mStore, mRelay, recorder, directory);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(scenario.seed());
         mKeys = FirstConfiguration.keys(scenario, random);
         mKeys.values().forEach(key -> mGroups.all().forEach(group -> group.forbid(key)));
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Fleet.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Fleet.java
@@ -37,7 +37,6 @@
     private final Map<String, DaemonProcess> mProcesses = new ConcurrentHashMap<>();
     private final Map<String, String> mDomains = new LinkedHashMap<>();
     private final Map<String, String> mIps = new LinkedHashMap<>();
-    private final FreePorts mPorts;
     private final StoreStandIn mStore;
     private final TcpRelay mRelay;
     private final HistoryRecorder mRecorder;
@@ -45,12 +44,10 @@
 
     Fleet(
             Scenario scenario,
-            FreePorts ports,
             StoreStandIn store,
             TcpRelay relay,
             HistoryRecorder recorder,
             Path directory) {
-        mPorts = ports;
         mStore = store;
         mRelay = relay;
         mRecorder = recorder;
@@ -162,11 +159,7 @@
         InetSocketAddress store = mStore.address();
         DaemonProcess process =
                 DaemonProcess.start(
-                        place,
-                        mPorts,
-                        RELAY_HOST + ":" + store.getPort(),
-                        mDirectory,
-                        this::relayed);
+                        place, RELAY_HOST + ":" + store.getPort(), mDirectory, this::relayed);
         mProcesses.put(name, process);
         mStore.putInstance(process.record());
         record(HistoryEvent.Kind.INSTANCE_STARTED, name);
--- a/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Groups.java
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/scenario/Groups.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import org.plantainferry.api.json.Json;
 import org.plantainferry.verification.history.GroupTruth;
+import org.plantainferry.verification.standin.FreePorts;
 import org.plantainferry.verification.standin.group.GroupSettings;
 import org.plantainferry.verification.standin.group.GroupStandIn;
 import org.plantainferry.verification.standin.group.LogEntry;
@@ -32,18 +33,18 @@
     private final HttpClient mHttp = HttpClient.newHttpClient();
     private final Map<String, GroupStandIn> mGroups = new TreeMap<>();
 
-    Groups(Deployment deployment, FreePorts ports) {
+    Groups(Deployment deployment) {
         for (String service : deployment.services()) {
             List<GroupSettings.Server> servers =
                     deployment.servers(service).stream()
-                            .map(name -> new GroupSettings.Server(name, ports.address(HOST)))
+                            .map(name -> new GroupSettings.Server(name, FreePorts.address(HOST)))
                             .toList();
             mGroups.put(
                     service,
                     new GroupStandIn(
                             new GroupSettings(
                                     service,
-                                    ports.address(HOST),
+                                    FreePorts.address(HOST),
                                     servers,
                                     Optional.of(deployment.slots()),
                                     Optional.empty(),
--- /dev/null
+++ b/plantainferry-verification/src/main/java/org/plantainferry/verification/standin/FreePorts.java
@@ -0,0 +1,59 @@
+package org.plantainferry.verification.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Finds free ports; each is given out once in a process.
+ *
+ * <p>The ports lie below those that the system gives to outgoing connections, because one of these
+ * could take a port between its search and its use.
+ *
+ * @since 0.3
+ */
+public final class FreePorts {
+    private static final int FIRST = 15_000;
+    private static final int COUNT = 17_000;
+    private static final int MOST_TRIES = 2_000;
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
+    private FreePorts() {}
+
+    /**
+     * Returns IP:PORT with a port that is free now.
+     *
+     * @throws UncheckedIOException when there is none
+     */
+    public static String address(String ip) {
+        return ip + ":" + next(ip);
+    }
+
+    /**
+     * Returns a port that is free at an address now.
+     *
+     * @throws UncheckedIOException when there is none
+     */
+    public static synchronized int next(String ip) {
+        IOException last = new IOException("no port was tried");
+        for (int attempt = 0; attempt < MOST_TRIES; attempt++) {
+            int port = FIRST + RANDOM.nextInt(COUNT);
+            if (GIVEN.contains(port)) {
+                continue;
+            }
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+                GIVEN.add(socket.getLocalPort());
+                return port;
+            } catch (IOException e) {
+                // Somebody uses this one; the next may be free.
+                last = e;
+            }
+        }
+        throw new UncheckedIOException("no free port at " + ip, last);
+    }
+}
--- a/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/LocalFleet.java
+++ b/plantainferry-verification/src/test/java/org/plantainferry/verification/daemon/LocalFleet.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -36,6 +35,7 @@
 import org.plantainferry.daemon.settings.DaemonSettings;
 import org.plantainferry.daemon.settings.ListenAddress;
 import org.plantainferry.network.store.InstanceRecord;
+import org.plantainferry.verification.standin.FreePorts;
 import org.plantainferry.verification.standin.group.GroupSettings;
 import org.plantainferry.verification.standin.group.GroupStandIn;
 import org.plantainferry.verification.standin.store.StoreStandIn;
@@ -122,10 +122,8 @@
         mCallers.add(settings.callerListener());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+    private static int freePort() {
+        return FreePorts.next("127.0.0.1");
     }
 
     private static String address(InetSocketAddress address) {
