--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -27,6 +27,7 @@
  */
 final class ConfirmationExchange {
     private static final long CHECK_MILLIS = 250;
+    private static final int MOST_DOUBLINGS = 2;
     private static final double YOUNG_PART = 1 / 3.0;
     // The rest of the bound is for the questions that follow, also where a watch is silent.
     private static final double OLD_PART = 0.6;
@@ -43,6 +44,8 @@
     private Optional<String> mUnanswered = Optional.empty();
     private long mNumber;
     private long mAskedNanos;
+    private int mStoreQuestions;
+    private long mAskStoreAgainNanos;
 
     ConfirmationExchange(
             EventLoop loop,
@@ -91,15 +94,27 @@
         mUnanswered = Optional.empty();
         long age = ageNanos();
         if (age < mYoungNanos) {
+            mStoreQuestions = 0;
             return;
         }
         Optional<String> source = mSources.choose(now);
         if (source.isEmpty() || age >= mOldNanos) {
-            mControl.confirmAtStore();
+            askStore(now);
         }
         source.ifPresent(each -> ask(each, now));
     }
 
+    /** Asks the store, less and less often while it does not confirm: it may turn this one away. */
+    private void askStore(long nowNanos) {
+        if (mStoreQuestions > 0 && nowNanos - mAskStoreAgainNanos < 0) {
+            return;
+        }
+        long pauseMillis = CHECK_MILLIS << Math.min(MOST_DOUBLINGS, mStoreQuestions);
+        mStoreQuestions++;
+        mAskStoreAgainNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
+        mControl.confirmAtStore();
+    }
+
     private void ask(String source, long nowNanos) {
         mNumber++;
         mAskedNanos = nowNanos;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -28,7 +28,7 @@
 public final class ControlPlane {
     private static final long CONFIGURATION_WAIT_MILLIS = 15_000;
     private static final long SERVERS_WAIT_MILLIS = 12_000;
-    private static final long SERVERS_PAUSE_MILLIS = 150;
+    private static final long SERVERS_PAUSE_MILLIS = 300;
     private static final long INSTANCES_WAIT_MILLIS = 30_000;
     private static final long INSTANCES_PAUSE_MILLIS = 2_000;
     private static final long LAPSE_POLL_MILLIS = 200;
@@ -46,6 +46,7 @@
     private RoutingConfiguration mConfiguration = RoutingConfiguration.EMPTY;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private boolean mCatalogRead;
+    private Map<String, String> mOtherDomains = Map.of();
     private boolean mInstancesRead;
     private boolean mPatienceEnded;
     private boolean mLapseTimer;
@@ -59,7 +60,7 @@
         /**
          * Receives a view.
          *
-         * @param instances the instances besides this one; empty until they were read
+         * @param instances the instances besides this one, when they were read or have changed
          */
         void onView(FleetView view, Optional<Map<String, InstanceEntry>> instances);
     }
@@ -160,13 +161,22 @@
     }
 
     private void publish() {
+        publish(Optional.empty());
+    }
+
+    private void publishInstances() {
         Map<String, InstanceEntry> others = new HashMap<>(mInstances);
         others.remove(mSettings.instance());
         Map<String, String> domains = new HashMap<>();
         others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
-        mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), domains);
+        mOtherDomains = Map.copyOf(domains);
+        publish(Optional.of(others));
+    }
+
+    private void publish(Optional<Map<String, InstanceEntry>> instances) {
+        mView = new FleetView(mConfiguration, mCatalog, mConfirmed.confirmedNanos(), mOtherDomains);
         mReady = mConfiguration.version() > 0 && mCatalogRead && isPatienceOver();
-        mListener.onView(mView, mInstancesRead ? Optional.of(others) : Optional.empty());
+        mListener.onView(mView, instances);
     }
 
     private boolean isPatienceOver() {
@@ -314,7 +324,7 @@
                                 () -> mInstances.remove(entry.name()));
             }
             GatewayEvent.INSTANCES_CHANGED.log(Math.max(0, mInstances.size() - 1));
-            publish();
+            publishInstances();
         }
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FeedFollower.java
@@ -20,9 +20,9 @@
  */
 final class FeedFollower<T> {
     private static final long FIRST_RETRY_MILLIS = 100;
-    private static final long LAST_RETRY_MILLIS = 800;
+    private static final long LAST_RETRY_MILLIS = 1_600;
     private static final long SERIES_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final long READ_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long READ_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
     /** Receives what the store holds. */
     interface Listener<T> {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -127,8 +127,8 @@
     /**
      * Follows a new view.
      *
-     * @param others the instances besides this one; empty until they were read, because an instance
-     *     that takes itself for the only one would use primaries and limits as if it were
+     * @param others the instances besides this one, when they were read or have changed; before, an
+     *     instance that took itself for the only one would use primaries as if it were
      */
     public void onView(FleetView view, Optional<Map<String, InstanceEntry>> others) {
         others.ifPresent(this::onOthers);
