--- a/plantainferry-api/src/main/java/org/plantainferry/api/json/Json.java
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/json/Json.java
@@ -85,7 +85,8 @@
         }
     }
 
-    private static String describe(JsonProcessingException error) {
+    /** Says what is wrong with a text, and where. */
+    static String describe(JsonProcessingException error) {
         if (error.getCause() instanceof PlantainferryException) {
             return error.getCause().getMessage() + place(error);
         }
--- /dev/null
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/json/JsonTree.java
@@ -0,0 +1,173 @@
+package org.plantainferry.api.json;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import org.plantainferry.api.ErrorCode;
+import org.plantainferry.api.PlantainferryException;
+
+/**
+ * Reads and writes JSON as a tree of nodes, by the streaming parser alone.
+ *
+ * <p>The object mapper of {@link Json} inspects types by reflection, which takes a third of the
+ * time that a gateway needs to start. Programs that have to start quickly use trees.
+ *
+ * @since 0.4
+ */
+public final class JsonTree {
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+    // Deeper values would exceed the small stacks of a gateway's threads.
+    private static final int MAX_NESTING_DEPTH = 100;
+    private static final StreamReadConstraints CONSTRAINTS =
+            StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build();
+    private static final JsonFactory MESSAGES =
+            JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+    private static final JsonFactory FILES =
+            JsonFactory.builder()
+                    .streamReadConstraints(CONSTRAINTS)
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .build();
+
+    private JsonTree() {}
+
+    /**
+     * Reads the JSON text of a message.
+     *
+     * @throws PlantainferryException with {@code code} and the reason when the text is not one JSON
+     *     value
+     */
+    public static JsonNode read(String text, ErrorCode code) {
+        return read(MESSAGES, text, code);
+    }
+
+    /**
+     * Reads the text of a file that people write; it may have comments, but no property twice.
+     *
+     * @throws PlantainferryException as {@link #read}
+     */
+    public static JsonNode readWithComments(String text, ErrorCode code) {
+        return read(FILES, text, code);
+    }
+
+    /** Returns a new, empty object. */
+    public static ObjectNode object() {
+        return NODES.objectNode();
+    }
+
+    /** Writes a tree as one line of JSON. */
+    public static String write(JsonNode tree) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator generator = MESSAGES.createGenerator(text)) {
+            write(generator, tree);
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+        return text.toString();
+    }
+
+    private static JsonNode read(JsonFactory factory, String text, ErrorCode code) {
+        try (JsonParser parser = factory.createParser(text)) {
+            if (parser.nextToken() == null) {
+                throw new PlantainferryException(code, "the JSON text is empty");
+            }
+            JsonNode tree = value(parser);
+            if (parser.nextToken() != null) {
+                throw new PlantainferryException(code, "text follows the JSON value");
+            }
+            return tree;
+        } catch (JsonProcessingException e) {
+            throw new PlantainferryException(code, Json.describe(e), e);
+        } catch (IOException e) {
+            throw new UncheckedIOException("reading from memory failed", e);
+        }
+    }
+
+    /** Reads the value at whose first token the parser stands. */
+    private static JsonNode value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> fields(parser);
+            case START_ARRAY -> elements(parser);
+            case VALUE_STRING -> NODES.textNode(parser.getText());
+            case VALUE_NUMBER_INT -> wholeNumber(parser);
+            case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
+            case VALUE_TRUE -> NODES.booleanNode(true);
+            case VALUE_FALSE -> NODES.booleanNode(false);
+            default -> NODES.nullNode();
+        };
+    }
+
+    private static JsonNode wholeNumber(JsonParser parser) throws IOException {
+        return switch (parser.getNumberType()) {
+            case INT -> NODES.numberNode(parser.getIntValue());
+            case LONG -> NODES.numberNode(parser.getLongValue());
+            default -> NODES.numberNode(parser.getBigIntegerValue());
+        };
+    }
+
+    private static ObjectNode fields(JsonParser parser) throws IOException {
+        ObjectNode object = NODES.objectNode();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            object.set(name, value(parser));
+        }
+        return object;
+    }
+
+    private static ArrayNode elements(JsonParser parser) throws IOException {
+        ArrayNode array = NODES.arrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            array.add(value(parser));
+        }
+        return array;
+    }
+
+    private static void write(JsonGenerator generator, JsonNode node) throws IOException {
+        if (node.isObject()) {
+            generator.writeStartObject();
+            for (Map.Entry<String, JsonNode> field : node.properties()) {
+                generator.writeFieldName(field.getKey());
+                write(generator, field.getValue());
+            }
+            generator.writeEndObject();
+        } else if (node.isArray()) {
+            generator.writeStartArray();
+            for (JsonNode element : node) {
+                write(generator, element);
+            }
+            generator.writeEndArray();
+        } else {
+            writeScalar(generator, node);
+        }
+    }
+
+    private static void writeScalar(JsonGenerator generator, JsonNode node) throws IOException {
+        if (node.isTextual()) {
+            generator.writeString(node.textValue());
+        } else if (node.isBoolean()) {
+            generator.writeBoolean(node.booleanValue());
+        } else if (node.isBigInteger()) {
+            generator.writeNumber(node.bigIntegerValue());
+        } else if (node.isIntegralNumber()) {
+            generator.writeNumber(node.longValue());
+        } else if (node.isNumber()) {
+            generator.writeNumber(node.doubleValue());
+        } else {
+            generator.writeNull();
+        }
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
@@ -4,9 +4,9 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
-import java.util.ServiceLoader;
 import java.util.concurrent.CountDownLatch;
 import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.gateway.log.ConsoleLogging;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.settings.GatewaySettingsReader;
@@ -24,6 +24,8 @@
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_USAGE = 2;
     private static final String SETTINGS_OPTION = "--settings";
+    private static final String CHANNEL_MACHINE_PROPERTY = "io.netty.machineId";
+    private static final String CHANNEL_MACHINE = "02:00:00:00:00:01";
 
     @Parameter(
             names = SETTINGS_OPTION,
@@ -34,18 +36,33 @@
     @Parameter(names = "--check", description = "Only check the settings")
     private boolean mCheck;
 
-    private GatewayMain() {}
+    private final PlatformAdapter mAdapter;
 
-    /** Runs the gateway until it is told to end. */
-    public static void main(String[] arguments) {
-        GatewayMain main = new GatewayMain();
+    private GatewayMain(PlatformAdapter adapter) {
+        mAdapter = adapter;
+    }
+
+    /**
+     * Runs the gateway until it is told to end, and ends the process.
+     *
+     * <p>The program of each platform calls it with its adapter. To look for one on the class path
+     * would open each library, which delays the start.
+     */
+    public static void run(String[] arguments, PlatformAdapter adapter)
+            throws InterruptedException {
+        ConsoleLogging.install();
+        // Channels need ids of their own in this process only; a hardware address takes long.
+        System.setProperty(CHANNEL_MACHINE_PROPERTY, CHANNEL_MACHINE);
+        GatewayMain main = new GatewayMain(adapter);
         try {
             main.parse(arguments);
         } catch (ParameterException e) {
             System.err.println("plantainferryd: " + e.getMessage());
             System.exit(EXIT_USAGE);
         }
-        System.exit(main.run());
+        int status = main.run();
+        ConsoleLogging.flush();
+        System.exit(status);
     }
 
     private void parse(String[] arguments) {
@@ -78,9 +95,7 @@
         CountDownLatch ended = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> ended.countDown());
         Signal.handle(new Signal("HUP"), signal -> reread(settings));
-        PlatformAdapter adapter =
-                ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
-        Gateway gateway = new Gateway(settings, adapter);
+        Gateway gateway = new Gateway(settings, mAdapter);
         if (gateway.start(ended)) {
             ended.await();
             gateway.drain();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/ConsoleLogging.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/ConsoleLogging.java
@@ -1,55 +1,61 @@
 package org.plantainferry.gateway.log;
 
-import ch.qos.logback.classic.AsyncAppender;
-import ch.qos.logback.classic.Level;
-import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
-import ch.qos.logback.classic.spi.Configurator;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.ConsoleAppender;
-import ch.qos.logback.core.spi.ContextAwareBase;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.util.ArrayList;
 import java.util.List;
-import org.slf4j.Logger;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
 
 /**
- * Writes log lines to standard output without ever blocking the thread that logs.
+ * Directs the logs of the gateway and of its libraries to standard output.
  *
- * <p>Logback finds it with {@code ServiceLoader}. It takes the place of a configuration file,
- * because reading one costs a tenth of the time that a gateway needs to start.
+ * <p>JBoss Logging writes through the logging of the JDK here, which starts sooner than a library
+ * of its own. Call {@link #install} before any class that logs is used.
  *
  * @since 0.2
  */
-public final class ConsoleLogging extends ContextAwareBase implements Configurator {
-    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %level %msg%n%ex";
+public final class ConsoleLogging {
+    private static final String PROVIDER_PROPERTY = "org.jboss.logging.provider";
     private static final int QUEUE_LINES = 1_024;
+    private static final long FLUSH_MILLIS = 200;
     private static final List<String> TERSE_LIBRARIES =
             List.of("io.undertow", "org.xnio", "org.jboss.threads", "io.netty");
+    // The JDK holds loggers weakly; one that is collected would lose its level.
+    private static final List<Logger> TERSE = new ArrayList<>();
 
-    /** Creates the configuration; called by Logback. */
-    public ConsoleLogging() {}
+    private static QueuedLineHandler sHandler;
 
-    @Override
-    public ExecutionStatus configure(LoggerContext context) {
-        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
-        encoder.setContext(context);
-        encoder.setPattern(PATTERN);
-        encoder.start();
-        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
-        console.setContext(context);
-        console.setEncoder(encoder);
-        console.start();
-        AsyncAppender queue = new AsyncAppender();
-        queue.setContext(context);
-        queue.setQueueSize(QUEUE_LINES);
-        // Lines are dropped when standard output is slow.
-        queue.setNeverBlock(true);
-        queue.addAppender(console);
-        queue.start();
+    private ConsoleLogging() {}
+
+    /** Sets logging up; a second call changes nothing. */
+    public static synchronized void install() {
+        if (sHandler != null) {
+            return;
+        }
+        System.setProperty(PROVIDER_PROPERTY, "jdk");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        LogManager.getLogManager().reset();
+        sHandler = new QueuedLineHandler(new FileOutputStream(FileDescriptor.out), QUEUE_LINES);
+        sHandler.start();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.INFO);
+        root.addHandler(sHandler);
         for (String library : TERSE_LIBRARIES) {
-            context.getLogger(library).setLevel(Level.WARN);
+            Logger logger = Logger.getLogger(library);
+            logger.setLevel(Level.WARNING);
+            TERSE.add(logger);
+        }
+    }
+
+    /** Waits until what was logged is written, but not for long. */
+    public static synchronized void flush() throws InterruptedException {
+        if (sHandler != null) {
+            sHandler.awaitWritten(TimeUnit.MILLISECONDS.toNanos(FLUSH_MILLIS));
         }
-        context.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
-        context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(queue);
-        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -18,50 +18,50 @@
     /** The settings have mistakes and nothing was started. */
     SETTINGS_INVALID(6002, Logger.Level.ERROR, "settings-invalid reason=\"%s\""),
     /** A drain began. */
-    DRAIN_STARTED(6003, Logger.Level.INFO, "drain-started sessions=%d transactions=%d"),
+    DRAIN_STARTED(6003, Logger.Level.INFO, "drain-started sessions=%s transactions=%s"),
     /** A drain ended and the process exits. */
-    DRAIN_ENDED(6004, Logger.Level.INFO, "drain-ended sessions=%d transactions=%d"),
+    DRAIN_ENDED(6004, Logger.Level.INFO, "drain-ended sessions=%s transactions=%s"),
     /** The settings file was announced as changed. */
     RELOADED(6005, Logger.Level.INFO, "settings-reread changed=%s"),
     /** A configuration came into force. */
-    CONFIGURATION_IN_FORCE(6101, Logger.Level.INFO, "configuration version=%d before=%d"),
+    CONFIGURATION_IN_FORCE(6101, Logger.Level.INFO, "configuration version=%s before=%s"),
     /** A configuration object cannot be used. */
     CONFIGURATION_REJECTED(6102, Logger.Level.ERROR, "configuration-rejected reason=\"%s\""),
     /** The store stopped answering. */
     STORE_LOST(6103, Logger.Level.WARN, "store-lost feed=%s reason=\"%s\""),
     /** The store answers again. */
-    STORE_BACK(6104, Logger.Level.INFO, "store-back feed=%s away-ms=%d"),
+    STORE_BACK(6104, Logger.Level.INFO, "store-back feed=%s away-ms=%s"),
     /** The entry of a server changed. */
     SERVER_CHANGED(6105, Logger.Level.INFO, "server id=%s service=%s state=%s"),
     /** The list of instances changed. */
-    INSTANCES_CHANGED(6106, Logger.Level.INFO, "instances others=%d"),
+    INSTANCES_CHANGED(6106, Logger.Level.INFO, "instances others=%s"),
     /** Another instance knows a newer configuration. */
-    CONFIGURATION_BEHIND(6107, Logger.Level.WARN, "configuration-behind version=%d other=%d"),
+    CONFIGURATION_BEHIND(6107, Logger.Level.WARN, "configuration-behind version=%s other=%s"),
     /** A primary is suspected. */
     PRIMARY_SUSPECTED(6201, Logger.Level.WARN, "primary-suspected service=%s server=%s reason=%s"),
     /** A server refused as a replica although it was taken for the primary. */
     PRIMARY_REFUSED(6202, Logger.Level.INFO, "primary-refused service=%s server=%s"),
     /** This instance orders a replica to lead. */
     PROMOTION_ORDERED(
-            6203, Logger.Level.WARN, "promotion-ordered service=%s server=%s token=%d received=%s"),
+            6203, Logger.Level.WARN, "promotion-ordered service=%s server=%s token=%s received=%s"),
     /** A promotion ended. */
-    PROMOTION_ENDED(6204, Logger.Level.INFO, "promotion-ended service=%s outcome=%s took-ms=%d"),
+    PROMOTION_ENDED(6204, Logger.Level.INFO, "promotion-ended service=%s outcome=%s took-ms=%s"),
     /** Statements for a primary go through another instance, which reaches it. */
     RELAY_USED(6205, Logger.Level.WARN, "relay-used server=%s through=%s"),
     /** A connection of another instance was not passed on. */
     RELAY_REFUSED(6206, Logger.Level.WARN, "relay-refused server=%s reason=\"%s\""),
     /** A primary must not be used, because it is being replaced, or may be used again. */
     PRIMARY_FENCED(
-            6207, Logger.Level.INFO, "primary-fenced service=%s server=%s token=%d state=%s"),
+            6207, Logger.Level.INFO, "primary-fenced service=%s server=%s token=%s state=%s"),
     /** It is decided whether the instances have stopped to use a primary. */
     FENCE_ROUND_ENDED(
             6208,
             Logger.Level.INFO,
-            "fence-round-ended service=%s server=%s decision=%s unconfirmed=%d"),
+            "fence-round-ended service=%s server=%s decision=%s unconfirmed=%s"),
     /** This instance gained or lost the right to use primaries. */
     LEAD_LEASE(6209, Logger.Level.WARN, "lead-lease state=%s heard-domains=%s"),
     /** Two servers claim to lead a group, and the one with the newest term is believed. */
-    PRIMARY_SETTLED(6210, Logger.Level.WARN, "primary-settled service=%s server=%s term=%d"),
+    PRIMARY_SETTLED(6210, Logger.Level.WARN, "primary-settled service=%s server=%s term=%s"),
     /** No server could take a request in time. */
     REQUEST_UNPLACED(
             6301,
@@ -71,16 +71,16 @@
     REQUEST_REFUSED(
             6302,
             Logger.Level.INFO,
-            "request-refused request=%s workspace=%s code=%s reason=\"%s\" configuration=%d"
+            "request-refused request=%s workspace=%s code=%s reason=\"%s\" configuration=%s"
                     + " limit=\"%s\""),
     /** A server refused or failed a request, or its answer is missing. */
     REQUEST_FAILED(
             6303,
             Logger.Level.WARN,
-            "request-failed request=%s server=%s outcome=%s code=%s reason=\"%s\" after-ms=%d"),
+            "request-failed request=%s server=%s outcome=%s code=%s reason=\"%s\" after-ms=%s"),
     /** A request is sent to another server. */
     REQUEST_RETRIED(
-            6304, Logger.Level.INFO, "request-retried request=%s server=%s attempt=%d cause=%s"),
+            6304, Logger.Level.INFO, "request-retried request=%s server=%s attempt=%s cause=%s"),
     /** A transaction was ended by this system. */
     TRANSACTION_ENDED(
             6305, Logger.Level.WARN, "transaction-ended request=%s workspace=%s reason=\"%s\""),
@@ -88,7 +88,7 @@
     SESSION_REFUSED(
             6306,
             Logger.Level.INFO,
-            "session-refused database=%s code=%s reason=\"%s\" configuration=%d"),
+            "session-refused database=%s code=%s reason=\"%s\" configuration=%s"),
     /** An unexpected error was met; the process goes on. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
@@ -103,6 +103,9 @@
     private final AtomicLong mLines = new AtomicLong();
     private final AtomicLong mSuppressed = new AtomicLong();
 
+    /**
+     * The format takes texts only: numbers in it would load the rules of a language at the start.
+     */
     GatewayEvent(int number, Logger.Level level, String format) {
         mNumber = number;
         mLevel = level;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -1,6 +1,5 @@
 package org.plantainferry.gateway.settings;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,13 +9,12 @@
 import java.util.Set;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
-import org.plantainferry.api.json.Json;
+import org.plantainferry.api.json.JsonTree;
 
 /**
  * Reads settings files, which are JSON with comments.
  *
- * <p>It reads the tree of the file. Binding by reflection takes a tenth of the time that a gateway
- * needs to start.
+ * <p>It reads the tree of the file, because a gateway has to start quickly (see {@link JsonTree}).
  *
  * @since 0.2
  */
@@ -49,16 +47,11 @@
      * @throws PlantainferryException as {@link #read}
      */
     public static GatewaySettings parse(String text) {
-        try {
-            JsonNode file = Json.withComments().readTree(text);
-            if (!file.isObject()) {
-                throw invalid("the settings must be one object");
-            }
-            return new GatewaySettingsReader(file).settings();
-        } catch (JsonProcessingException e) {
-            throw new PlantainferryException(
-                    ErrorCode.CONFIGURATION_INVALID, "the settings are not JSON: " + e, e);
+        JsonNode file = JsonTree.readWithComments(text, ErrorCode.CONFIGURATION_INVALID);
+        if (!file.isObject()) {
+            throw invalid("the settings must be one object");
         }
+        return new GatewaySettingsReader(file).settings();
     }
 
     private GatewaySettings settings() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformAdapter.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformAdapter.java
@@ -4,7 +4,7 @@
 import org.plantainferry.gateway.settings.GatewaySettings;
 
 /**
- * Connects the gateway to one kind of platform; found with {@link java.util.ServiceLoader}.
+ * Connects the gateway to one kind of platform; the program of the platform creates it.
  *
  * @since 0.2
  */
