Name the group and the ordered server in fences, and keep the order at the store

Cause: a fence named the id of the former primary. What was ruled out: a longer life of the fence by id, because the id changes.

--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FenceExchange.java
@@ -0,0 +1,173 @@
+package org.plantainferry.gateway.control;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.plantainferry.engine.promotion.FenceRound;
+import org.plantainferry.engine.promotion.GroupFence;
+import org.plantainferry.engine.promotion.Succession;
+import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.peer.generated.LeadFence;
+import org.plantainferry.gateway.peer.generated.LeadFenceConfirmation;
+import org.plantainferry.gateway.spi.InstanceEntry;
+
+/**
+ * Announces replacements of primaries to the other instances, and takes over their announcements.
+ *
+ * <p>Used by the control thread only.
+ */
+final class FenceExchange {
+    private static final long TELL_MILLIS = 60;
+
+    private final EventLoop mLoop;
+    private final String mInstance;
+    private final PeerChannel mPeers;
+    private final LongSupplier mClock;
+    private final FenceBoard mBoard;
+    private final Map<String, Round> mRounds = new HashMap<>();
+    private Map<String, InstanceEntry> mOthers = Map.of();
+
+    /** Holds the announcement of a replacement by this instance. */
+    private record Round(
+            String service,
+            long token,
+            Map<String, InstanceEntry> receivers,
+            FenceRound round,
+            Consumer<Boolean> done) {}
+
+    FenceExchange(
+            EventLoop loop,
+            String instance,
+            PeerChannel peers,
+            LongSupplier clock,
+            FenceBoard board) {
+        mLoop = loop;
+        mInstance = instance;
+        mPeers = peers;
+        mClock = clock;
+        mBoard = board;
+    }
+
+    void onOthers(Map<String, InstanceEntry> others) {
+        mOthers = others;
+    }
+
+    static LeadFence message(String service, GroupFence fence) {
+        return LeadFence.newBuilder()
+                .setService(service)
+                .setToken(fence.token())
+                .setBlocked(fence.blocked())
+                .setOrderToken(fence.succession().token())
+                .setOrderedServer(fence.succession().server())
+                .setOrderedTerm(fence.succession().term())
+                .build();
+    }
+
+    /** Takes over what a message says. */
+    void take(LeadFence message) {
+        Succession succession =
+                new Succession(
+                        message.getOrderToken(),
+                        message.getOrderedServer(),
+                        message.getOrderedTerm());
+        mBoard.take(
+                message.getService(),
+                new GroupFence(message.getToken(), message.getBlocked(), succession));
+    }
+
+    void onNotice(LeadFence notice, InetSocketAddress sender) {
+        take(notice);
+        mPeers.send(
+                message()
+                        .setLeadFenceConfirmation(
+                                LeadFenceConfirmation.newBuilder()
+                                        .setService(notice.getService())
+                                        .setToken(notice.getToken()))
+                        .build(),
+                sender);
+    }
+
+    void onConfirmation(String instance, LeadFenceConfirmation confirmation) {
+        Round round = mRounds.get(confirmation.getService());
+        if (round != null && round.token == confirmation.getToken()) {
+            round.round.onConfirmed(instance, mClock.getAsLong());
+            decide(round);
+        }
+    }
+
+    /**
+     * Makes all instances stop to use primaries of a group.
+     *
+     * @param members the other instances, read from the store after the claim was written: one that
+     *     registers later finds the claim there before it uses a primary
+     * @param done runs once; true when none of them uses one any more
+     */
+    void block(
+            String service,
+            long token,
+            Map<String, InstanceEntry> members,
+            Consumer<Boolean> done) {
+        mBoard.take(service, mBoard.fence(service).announced(token));
+        FenceRound decisions = new FenceRound(members.keySet(), mClock.getAsLong());
+        Round round = new Round(service, token, members, decisions, done);
+        mRounds.put(service, round);
+        tell(round);
+    }
+
+    private void tell(Round round) {
+        if (mRounds.get(round.service) != round) {
+            return;
+        }
+        announce(round.service, round.receivers, round.round.missing());
+        if (!decide(round)) {
+            mLoop.schedule(() -> tell(round), TELL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void announce(String service, Map<String, InstanceEntry> receivers, Set<String> names) {
+        InstanceMessage message =
+                message().setLeadFence(message(service, mBoard.fence(service))).build();
+        for (String name : names) {
+            InstanceEntry entry = receivers.get(name);
+            if (entry != null) {
+                mPeers.send(message, entry.peerAddress());
+            }
+        }
+    }
+
+    private InstanceMessage.Builder message() {
+        return InstanceMessage.newBuilder().setInstance(mInstance);
+    }
+
+    /** Ends a round when its outcome is known; returns whether it has ended. */
+    private boolean decide(Round round) {
+        FenceRound.Decision decision = round.round.decide(mClock.getAsLong());
+        if (decision == FenceRound.Decision.WAIT) {
+            return false;
+        }
+        mRounds.remove(round.service);
+        GatewayEvent.FENCE_ROUND_ENDED.log(
+                round.service, round.token, decision, round.round.missing().size());
+        round.done.accept(decision == FenceRound.Decision.ORDER);
+        return true;
+    }
+
+    /**
+     * Lets all instances use a primary of a group again.
+     *
+     * @param token that with which the group was blocked
+     * @param newest the newest order, which says what primary may be used
+     */
+    void release(String service, long token, Succession newest) {
+        mRounds.remove(service);
+        mBoard.take(service, mBoard.fence(service).released(token, newest));
+        announce(service, mOthers, mOthers.keySet());
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -32,6 +32,7 @@
 public final class FleetController {
     private final EventLoop mLoop;
     private final Supplier<FleetView> mView;
+    private final PeerChannel mPeers;
     private final DemandExchange mDemand;
     private final ReachabilityPoll mPoll;
     private final TokenExchange mTokens;
@@ -59,9 +60,8 @@
         mLoop = loop;
         Supplier<FleetView> view = control::view;
         mView = view;
-        PeerChannel peers =
-                new PeerChannel(
-                        loop, settings.localAddress(), settings.peerPort(), this::onMessage);
+        PeerChannel peers = new PeerChannel(loop, settings.localAddress(), settings.peerPort());
+        mPeers = peers;
         new RelayServer(loop, settings.localAddress(), id -> view.get().catalog().server(id))
                 .start(settings.peerPort());
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
@@ -71,7 +71,9 @@
                 new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
         mTokens = new TokenExchange(loop, settings.instance(), traffic, peers, clock, new Random());
         mPositions = new PositionExchange(loop, settings, traffic, peers, clock, new Random());
-        mLeads = new LeadExchange(loop, settings, peers, clock, guard, new Random());
+        mLeads =
+                new LeadExchange(
+                        loop, settings, peers, platform.claims(), clock, guard, new Random());
         mGuardsPrimaries = !settings.platformFencesPrimaries();
         ReplacementTools tools =
                 new ReplacementTools(
@@ -79,7 +81,9 @@
                         platform.claims(),
                         platform.promotions(),
                         probe,
-                        mLeads,
+                        mLeads.fences(),
+                        mLeads.board(),
+                        platform.instances(),
                         mGuardsPrimaries,
                         clock,
                         view);
@@ -92,12 +96,14 @@
                         mPoll,
                         traffic,
                         control::settlePrimary,
+                        new PrimaryVerifier(loop, clock, probe, mLeads.board()),
                         (service, cause, last, ended) ->
                                 new PrimaryReplacement(loop, tools, service, cause, last, ended));
     }
 
     /** Begins the periodic work. */
     public void start() {
+        mPeers.listen(this::onMessage);
         mLoop.execute(mConfirmations::start);
         if (mGuardsPrimaries) {
             mLoop.execute(mLeads::start);
@@ -160,8 +166,9 @@
             case LEAD_ANSWER -> mLeads.onAnswer(message.getLeadAnswer());
             case LEAD_FENCE -> mLeads.onNotice(message.getLeadFence(), sender);
             case LEAD_FENCE_CONFIRMATION ->
-                    mLeads.onConfirmation(
-                            message.getInstance(), message.getLeadFenceConfirmation());
+                    mLeads.fences()
+                            .onConfirmation(
+                                    message.getInstance(), message.getLeadFenceConfirmation());
             case REACHABILITY_ANSWER ->
                     mPoll.onAnswer(message.getInstance(), message.getReachabilityAnswer());
             case REACHABILITY_QUESTION ->
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/LeadExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/LeadExchange.java
@@ -3,17 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.PeerAge;
 import org.plantainferry.engine.membership.DomainSpeakers;
-import org.plantainferry.engine.promotion.FenceRound;
 import org.plantainferry.engine.promotion.LeadLease;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerChannel;
@@ -21,9 +17,9 @@
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
 import org.plantainferry.gateway.peer.generated.LeadAnswer;
 import org.plantainferry.gateway.peer.generated.LeadFence;
-import org.plantainferry.gateway.peer.generated.LeadFenceConfirmation;
 import org.plantainferry.gateway.peer.generated.LeadQuestion;
 import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.traffic.LeadGuard;
 
@@ -40,9 +36,7 @@
     private static final long PASSED_OVER_MILLIS = 600;
     // Each member asks within this time even when one of its datagrams is lost.
     private static final long MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    private static final long TELL_MILLIS = 60;
     private static final long WORRIED_NANOS = LeadLease.LEASE_NANOS / 2;
-    private static final long FENCE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(8);
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -53,8 +47,9 @@
     private final LeadLease mLease;
     private final DomainSpeakers mSpeakers = new DomainSpeakers("lead", PASSED_OVER_MILLIS);
     private final Map<Long, Question> mQuestions = new HashMap<>();
-    private final Map<String, Fence> mFences = new HashMap<>();
-    private final Map<String, Round> mRounds = new HashMap<>();
+    private final FenceBoard mBoard;
+    private final FenceExchange mFences;
+    private final ClaimWatch mClaims;
     private final Map<String, Long> mMembers = new HashMap<>();
     private final Map<String, Stamp> mStamps = new HashMap<>();
     private final long mProcess;
@@ -68,16 +63,11 @@
     /** Holds what the newest answer of an instance said of its process and time. */
     private record Stamp(long process, long time) {}
 
-    private record Fence(String server, long token, long sinceNanos) {}
-
-    /** Holds the notice of a replacement by this instance. */
-    private record Round(
-            String service, String server, long token, FenceRound round, Consumer<Boolean> done) {}
-
     LeadExchange(
             EventLoop loop,
             GatewaySettings settings,
             PeerChannel peers,
+            ClaimStore claims,
             LongSupplier clock,
             LeadGuard guard,
             Random random) {
@@ -88,6 +78,10 @@
         mClock = clock;
         mGuard = guard;
         mLease = new LeadLease(mFailureDomain);
+        mBoard = new FenceBoard(clock);
+        mBoard.onChange(this::publish);
+        mFences = new FenceExchange(loop, mInstance, peers, clock, mBoard);
+        mClaims = new ClaimWatch(loop, claims, clock, mBoard::take, this::publish);
         // Answers to questions of an earlier process of this instance must not match.
         mNumber = random.nextLong() >>> 1;
         mProcess = random.nextLong() >>> 1;
@@ -103,6 +97,7 @@
     void onOthers(Map<String, InstanceEntry> others) {
         boolean isFirst = mOthers.isEmpty();
         mOthers = others;
+        mFences.onOthers(others);
         Map<String, String> domains = new HashMap<>();
         others.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
         mLease.onInstances(others.size() + 1);
@@ -111,6 +106,7 @@
         domains.put(mInstance, mFailureDomain);
         mSpeakers.onInstances(domains);
         if (mStarted && isFirst) {
+            mClaims.onRegistered();
             ask();
         }
     }
@@ -120,8 +116,11 @@
         long now = mClock.getAsLong();
         mQuestions.values().forEach(question -> mSpeakers.passOver(question.asked, now));
         mQuestions.clear();
-        mFences.values().removeIf(fence -> now - fence.sinceNanos > FENCE_LIFETIME_NANOS);
+        mBoard.expire();
         ask();
+        if (!mClaims.isKnown() || isWorried(now)) {
+            mClaims.read();
+        }
         publish();
     }
 
@@ -134,8 +133,7 @@
         } else {
             ask(own.get(), now);
         }
-        boolean isWorried = mLease.heldUntilNanos(now) - now < WORRIED_NANOS;
-        if (!isSpeaker && !isWorried) {
+        if (!isSpeaker && !isWorried(now)) {
             return;
         }
         for (String domain : mSpeakers.domains()) {
@@ -145,6 +143,11 @@
         }
     }
 
+    /** Returns whether the lease will soon be lost unless there is contact with more instances. */
+    private boolean isWorried(long nowNanos) {
+        return mLease.heldUntilNanos(nowNanos) - nowNanos < WORRIED_NANOS;
+    }
+
     private void ask(String asked, long nowNanos) {
         InstanceEntry entry = mOthers.get(asked);
         if (entry == null) {
@@ -157,7 +160,10 @@
         if (stamp != null) {
             question.setProcess(stamp.process).setStamp(stamp.time);
         }
-        mFences.forEach((service, fence) -> question.addFences(notice(service, fence, false)));
+        mBoard.fences()
+                .forEach(
+                        (service, fence) ->
+                                question.addFences(FenceExchange.message(service, fence)));
         send(message().setLeadQuestion(question), entry);
     }
 
@@ -197,7 +203,7 @@
         }
         long now = mClock.getAsLong();
         mSpeakers.onHeard(instance);
-        question.getFencesList().forEach(this::take);
+        question.getFencesList().forEach(mFences::take);
         noteMember(instance, question, now);
         LeadAnswer.Builder answer =
                 LeadAnswer.newBuilder()
@@ -208,7 +214,10 @@
                 .forEach(
                         (domain, contacts) ->
                                 contacts.forEach(each -> addContact(answer, domain, each, now)));
-        mFences.forEach((service, fence) -> answer.addFences(notice(service, fence, false)));
+        mBoard.fences()
+                .forEach(
+                        (service, fence) ->
+                                answer.addFences(FenceExchange.message(service, fence)));
         mPeers.send(message().setLeadAnswer(answer).build(), sender);
     }
 
@@ -225,20 +234,12 @@
                         .setAgeMillis(PeerAge.millis(age)));
     }
 
-    private static LeadFence.Builder notice(String service, Fence fence, boolean lifted) {
-        return LeadFence.newBuilder()
-                .setService(service)
-                .setServer(fence.server)
-                .setToken(fence.token)
-                .setLifted(lifted);
-    }
-
     void onAnswer(LeadAnswer answer) {
         Question question = mQuestions.remove(answer.getNumber());
         if (question == null) {
             return;
         }
-        answer.getFencesList().forEach(this::take);
+        answer.getFencesList().forEach(mFences::take);
         mSpeakers.onHeard(question.asked);
         mStamps.put(question.asked, new Stamp(answer.getProcess(), answer.getStamp()));
         for (DomainContact contact : answer.getContactsList()) {
@@ -250,127 +251,31 @@
         publish();
     }
 
-    /** Takes over a notice, unless a newer one is known. */
-    private void take(LeadFence notice) {
-        Fence known = mFences.get(notice.getService());
-        if (known != null && known.token > notice.getToken()) {
-            return;
-        }
-        boolean isNew = known == null || known.token < notice.getToken();
-        if (notice.getLifted()) {
-            mFences.remove(notice.getService());
-        } else if (isNew) {
-            mFences.put(
-                    notice.getService(),
-                    new Fence(notice.getServer(), notice.getToken(), mClock.getAsLong()));
-        }
-        if (isNew || notice.getLifted()) {
-            GatewayEvent.PRIMARY_FENCED.log(
-                    notice.getService(),
-                    notice.getServer(),
-                    notice.getToken(),
-                    notice.getLifted() ? "lifted" : "in force");
-        }
-    }
-
-    void onNotice(LeadFence notice, InetSocketAddress sender) {
-        if (!mStarted) {
-            return;
-        }
-        take(notice);
-        publish();
-        mPeers.send(
-                message()
-                        .setLeadFenceConfirmation(
-                                LeadFenceConfirmation.newBuilder()
-                                        .setService(notice.getService())
-                                        .setToken(notice.getToken()))
-                        .build(),
-                sender);
-    }
-
-    void onConfirmation(String instance, LeadFenceConfirmation confirmation) {
-        Round round = mRounds.get(confirmation.getService());
-        if (round != null && round.token == confirmation.getToken()) {
-            round.round.onConfirmed(instance, mClock.getAsLong());
-            decide(round);
-        }
+    /** Returns what this instance knows of replacements. */
+    FenceExchange fences() {
+        return mFences;
     }
 
-    /**
-     * Makes all instances stop to use a primary.
-     *
-     * @param done runs once; true when none of them uses it any more
-     */
-    void fence(String service, String server, long token, Consumer<Boolean> done) {
-        if (!mStarted || server.isEmpty()) {
-            done.accept(true);
-            return;
-        }
-        long now = mClock.getAsLong();
-        Fence fence = new Fence(server, token, now);
-        take(notice(service, fence, false).build());
-        publish();
-        FenceRound decisions = new FenceRound(mOthers.keySet(), now);
-        Round round = new Round(service, server, token, decisions, done);
-        mRounds.put(service, round);
-        tell(round);
-    }
-
-    private void tell(Round round) {
-        if (mRounds.get(round.service) != round) {
-            return;
-        }
-        Fence fence = new Fence(round.server, round.token, 0);
-        announce(notice(round.service, fence, false), round.round.missing());
-        if (!decide(round)) {
-            mLoop.schedule(() -> tell(round), TELL_MILLIS, TimeUnit.MILLISECONDS);
-        }
+    FenceBoard board() {
+        return mBoard;
     }
 
-    private void announce(LeadFence.Builder notice, Set<String> receivers) {
-        InstanceMessage message = message().setLeadFence(notice).build();
-        for (String receiver : receivers) {
-            InstanceEntry entry = mOthers.get(receiver);
-            if (entry != null) {
-                mPeers.send(message, entry.peerAddress());
-            }
-        }
-    }
-
-    /** Ends a round when its outcome is known; returns whether it has ended. */
-    private boolean decide(Round round) {
-        FenceRound.Decision decision = round.round.decide(mClock.getAsLong());
-        if (decision == FenceRound.Decision.WAIT) {
-            return false;
-        }
-        mRounds.remove(round.service);
-        GatewayEvent.FENCE_ROUND_ENDED.log(
-                round.service, round.server, decision, round.round.missing().size());
-        round.done.accept(decision == FenceRound.Decision.ORDER);
-        return true;
-    }
-
-    /** Lets all instances use a primary again whose replacement was not ordered. */
-    void lift(String service, String server, long token) {
-        if (!mStarted || server.isEmpty()) {
-            return;
+    /** Takes over an announcement of another instance. */
+    void onNotice(LeadFence notice, InetSocketAddress sender) {
+        if (mStarted) {
+            mFences.onNotice(notice, sender);
         }
-        LeadFence.Builder notice = notice(service, new Fence(server, token, 0), true);
-        take(notice.build());
-        publish();
-        announce(notice, new HashSet<>(mOthers.keySet()));
     }
 
-    private void publish() {
+    /** Tells traffic which primaries may be used. */
+    void publish() {
         if (!mStarted) {
             return;
         }
-        Map<String, String> fenced = new HashMap<>();
-        mFences.forEach((service, fence) -> fenced.put(service, fence.server));
         long now = mClock.getAsLong();
-        long until = mLease.heldUntilNanos(now);
-        mGuard.publish(until, fenced);
+        // Orders of earlier days are known from the store only.
+        long until = mClaims.isKnown() ? mLease.heldUntilNanos(now) : now;
+        mGuard.publish(until, now, mClaims.claimed(), mBoard.onlyPrimaries());
         boolean isHeld = until - now > 0;
         if (isHeld != mHeld) {
             mHeld = isHeld;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -55,6 +55,7 @@
     private final Map<String, CatalogServer> mLastPrimaries = new HashMap<>();
     private final Set<String> mSettling = new HashSet<>();
     private final BiConsumer<String, String> mSettled;
+    private final PrimaryVerifier mVerifier;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private Set<String> mOthers = Set.of();
 
@@ -80,6 +81,7 @@
             ReachabilityPoll poll,
             TrafficServer traffic,
             BiConsumer<String, String> settled,
+            PrimaryVerifier verifier,
             ReplacementFactory factory) {
         mLoop = loop;
         mInstance = instance;
@@ -88,12 +90,15 @@
         mPoll = poll;
         mTraffic = traffic;
         mSettled = settled;
+        mVerifier = verifier;
+        verifier.onNotBelieved(this::watch);
         mFactory = factory;
     }
 
     void onView(FleetView view) {
         mCatalog = view.catalog();
         mOthers = view.otherInstances();
+        mVerifier.onCatalog(mCatalog);
         for (String service : mCatalog.services()) {
             mCatalog.primary(service).ifPresent(each -> mLastPrimaries.put(service, each));
             if (mCatalog.contenders(service).isEmpty()) {
@@ -137,6 +142,9 @@
         if (primary.isEmpty()) {
             return Optional.of(ReplacementCause.MISSING);
         }
+        if (mVerifier.isLongNotBelieved(service)) {
+            return Optional.of(ReplacementCause.NOT_BELIEVED);
+        }
         return primary.get().draining() ? Optional.of(ReplacementCause.LEAVING) : Optional.empty();
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -1,18 +1,21 @@
 package org.plantainferry.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.promotion.CandidateChoice;
 import org.plantainferry.engine.promotion.ReplicaState;
+import org.plantainferry.engine.promotion.Succession;
 import org.plantainferry.gateway.log.GatewayEvent;
-import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.FeedEntry;
+import org.plantainferry.gateway.spi.FeedPage;
+import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PromotionResult;
-import org.plantainferry.gateway.spi.StoredClaim;
 import org.plantainferry.gateway.statement.ServerStatus;
 import org.plantainferry.gateway.statement.Statement;
 import org.plantainferry.gateway.traffic.ProbeAnswer;
@@ -22,16 +25,12 @@
  * Replaces the primary of one group, step by step.
  *
  * <p>The steps are: claim the group in the store, which gives a fencing token of its own; make the
- * primary step down, or else all instances stop to use it; ask the replicas how far they have
- * received; order the one that has most to lead; wait until it says that it leads. Each order keeps
- * its candidate and its token, so that an order whose answer was lost does no harm when it is
- * carried out late. Used by the control thread only.
+ * primary step down, or else all instances stop to use primaries of the group; ask the replicas how
+ * far they have received; write into the claim which one is ordered; order it to lead; wait until
+ * it leads. Each order keeps its candidate, so that an order whose answer was lost does no harm
+ * when it is carried out late. Used by the control thread only.
  */
 final class PrimaryReplacement {
-    private static final long FOREIGN_CLAIM_MILLIS = 2_500;
-    private static final long FOREIGN_POLL_MILLIS = 250;
-    // Well before another instance takes a claim over that has not changed.
-    private static final long CLAIM_TRUSTED_MILLIS = 1_500;
     private static final long STATUS_MILLIS = 350;
     private static final long CATCH_UP_MILLIS = 700;
     private static final long CATCH_UP_POLL_MILLIS = 60;
@@ -39,6 +38,8 @@
     private static final long ORDERS_END_MILLIS = 6_000;
     private static final long LEADING_MILLIS = 3_000;
     private static final long LEADING_POLL_MILLIS = 50;
+    // Well before other instances use primaries of the group again on their own.
+    private static final long UNUSED_TRUSTED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final EventLoop mLoop;
     private final ReplacementTools mTools;
@@ -47,16 +48,16 @@
     private final Runnable mEnded;
     private final String mOldPrimary;
     private final long mStartedNanos;
-    private Optional<Long> mForeignVersion = Optional.empty();
-    private long mForeignSinceNanos;
     private final Optional<CatalogServer> mLast;
-    private PromotionClaim mClaim;
-    private long mClaimSentNanos;
-    private Optional<PromotionClaim> mFencedWith = Optional.empty();
+    private final ReplacementClaim mClaim;
+    private Optional<Long> mBlockedWith = Optional.empty();
     private Optional<LogPosition> mLeft = Optional.empty();
     private long mCatchUpUntil;
     private boolean mAsking;
-    private boolean mOrdered;
+    private long mUnusedNanos;
+    private Succession mBefore = Succession.NONE;
+    private Succession mNewestOrder = Succession.NONE;
+    private boolean mLateOrders;
 
     PrimaryReplacement(
             EventLoop loop,
@@ -74,10 +75,11 @@
         mOldPrimary =
                 tools.view().get().catalog().primary(service).map(CatalogServer::id).orElse("");
         mStartedNanos = tools.clock().getAsLong();
+        mClaim = new ReplacementClaim(loop, tools, service, this::isReplaced);
     }
 
     void start() {
-        claim();
+        mClaim.take(this::onClaim);
     }
 
     private long now() {
@@ -108,84 +110,51 @@
                 .isPresent();
     }
 
-    private void claim() {
-        if (isReplaced()) {
-            end("replaced by another instance");
+    private void onClaim(Optional<String> failure) {
+        if (failure.isPresent()) {
+            end(failure.get());
             return;
         }
-        mTools.claims()
-                .read(mService)
-                .whenComplete(
-                        (stored, failure) ->
-                                mLoop.execute(
-                                        () -> {
-                                            if (failure != null) {
-                                                end("store: " + reason(failure));
-                                            } else {
-                                                onClaimRead(stored);
-                                            }
-                                        }));
-    }
-
-    private static String reason(Throwable failure) {
-        return Futures.cause(failure).getMessage();
-    }
-
-    private void onClaimRead(Optional<StoredClaim> stored) {
-        boolean isForeign =
-                stored.isPresent()
-                        && stored.get().claim().open()
-                        && !stored.get().claim().holder().equals(mTools.holder());
-        if (isForeign && !isForeignClaimOld(stored.get().version())) {
-            later(FOREIGN_POLL_MILLIS, this::claim);
-            return;
+        mBefore = mClaim.current().succession();
+        mNewestOrder = mBefore;
+        mLateOrders = mClaim.current().lateOrders();
+        if (mTools.guardsPrimaries()) {
+            readMembers();
+        } else if (mCause == ReplacementCause.LEAVING) {
+            stepDown();
+        } else {
+            askReplicasOnce();
         }
-        long token = stored.map(each -> each.claim().fencingToken()).orElse(0L) + 1;
-        mClaim = new PromotionClaim(mTools.holder(), token, true);
-        mClaimSentNanos = now();
-        mTools.claims()
-                .write(mService, stored.map(each -> each.version()), mClaim)
-                .whenComplete(
-                        (written, failure) -> mLoop.execute(() -> onClaimed(written, failure)));
     }
 
-    /** An open claim that does not change for a while belongs to an instance that is gone. */
-    private boolean isForeignClaimOld(long version) {
-        if (!mForeignVersion.equals(Optional.of(version))) {
-            mForeignVersion = Optional.of(version);
-            mForeignSinceNanos = now();
-        }
-        long seen = TimeUnit.NANOSECONDS.toMillis(now() - mForeignSinceNanos);
-        return seen >= FOREIGN_CLAIM_MILLIS;
+    /** Reads which instances may use a primary without having seen the claim. */
+    private void readMembers() {
+        mTools.instances()
+                .readAll()
+                .whenComplete((page, failure) -> mLoop.execute(() -> onMembers(page, failure)));
     }
 
-    private void onClaimed(Boolean written, Throwable failure) {
+    private void onMembers(FeedPage<InstanceEntry> page, Throwable failure) {
         if (failure != null) {
-            // The claim may have been written; a new one gets a higher token.
-            end("store: " + reason(failure));
+            close("store: " + Futures.cause(failure).getMessage());
             return;
         }
-        if (!written) {
-            later(FOREIGN_POLL_MILLIS, this::claim);
-            return;
-        }
-        boolean isGuarded = mTools.guardsPrimaries() && mLast.isPresent();
-        if (isGuarded) {
-            mFencedWith = Optional.of(mClaim);
-            mTools.leads().fence(mService, mLast.get().id(), mClaim.fencingToken(), this::onFenced);
+        Map<String, InstanceEntry> members = new HashMap<>();
+        for (FeedEntry<InstanceEntry> entry : page.entries()) {
+            entry.value().ifPresent(value -> members.put(entry.name(), value));
         }
-        if (isGuarded || mCause == ReplacementCause.LEAVING) {
-            stepDown();
-            return;
-        }
-        askReplicasOnce();
+        members.remove(mTools.holder());
+        long token = mClaim.current().fencingToken();
+        mBlockedWith = Optional.of(token);
+        mTools.fences().block(mService, token, members, this::onUnused);
+        stepDown();
     }
 
-    private void onFenced(boolean isUnused) {
+    private void onUnused(boolean isUnused) {
         if (isUnused) {
             askReplicasOnce();
         } else if (!mAsking) {
-            closeUnordered("instances may still use the primary");
+            close("instances may still use the primary");
         }
     }
 
@@ -193,6 +162,7 @@
     private void askReplicasOnce() {
         if (!mAsking) {
             mAsking = true;
+            mUnusedNanos = now();
             askReplicas();
         }
     }
@@ -200,7 +170,7 @@
     /** Stops commits at the primary, so that the replicas can receive all of them. */
     private void stepDown() {
         if (mLast.isEmpty()) {
-            askReplicasOnce();
+            onNotSteppedDown();
             return;
         }
         mTools.probe()
@@ -209,34 +179,40 @@
     }
 
     private void onNotSteppedDown() {
-        if (mFencedWith.isEmpty()) {
+        if (!mTools.guardsPrimaries()) {
             askReplicasOnce();
         }
     }
 
     private void onOldStatus(CatalogServer primary, ProbeAnswer answer) {
-        if (answer.status().isEmpty()) {
+        if (answer.status().isEmpty() || !isOnlyPrimary(answer.status().get())) {
             onNotSteppedDown();
             return;
         }
         long term = answer.status().get().term() + 1;
         mTools.probe()
                 .send(primary, new Statement.StepDown(term), STATUS_MILLIS)
-                .thenAccept(
-                        stepped ->
-                                mLoop.execute(
-                                        () -> {
-                                            if (stepped.status().isEmpty()) {
-                                                onNotSteppedDown();
-                                                return;
-                                            }
-                                            mLeft = stepped.status().map(ServerStatus::received);
-                                            mCatchUpUntil =
-                                                    now()
-                                                            + TimeUnit.MILLISECONDS.toNanos(
-                                                                    CATCH_UP_MILLIS);
-                                            askReplicasOnce();
-                                        }));
+                .thenAccept(stepped -> mLoop.execute(() -> onSteppedDown(stepped)));
+    }
+
+    /** Returns whether no other server of the group can lead when this one steps down. */
+    private boolean isOnlyPrimary(ServerStatus status) {
+        if (!mTools.guardsPrimaries()) {
+            return true;
+        }
+        return status.primary()
+                && !mNewestOrder.isPending()
+                && status.term() >= mNewestOrder.term();
+    }
+
+    private void onSteppedDown(ProbeAnswer answer) {
+        if (answer.status().isEmpty()) {
+            onNotSteppedDown();
+            return;
+        }
+        mLeft = answer.status().map(ServerStatus::received);
+        mCatchUpUntil = now() + TimeUnit.MILLISECONDS.toNanos(CATCH_UP_MILLIS);
+        askReplicasOnce();
     }
 
     private List<CatalogServer> replicas() {
@@ -249,7 +225,7 @@
     private void askReplicas() {
         List<CatalogServer> replicas = replicas();
         if (replicas.isEmpty()) {
-            closeUnordered("no replica is known");
+            close("no replica is known");
             return;
         }
         ReplicaSurvey.run(
@@ -265,11 +241,17 @@
             close("replaced by another instance");
             return;
         }
+        Optional<ReplicaState> leading = states.stream().filter(this::isSuccessor).findFirst();
+        if (leading.isPresent()) {
+            // An earlier order whose outcome was not known has been carried out.
+            onLeading(leading.get().term());
+            return;
+        }
         int synchronous = mTools.synchronousReplicas(mService);
         Optional<ReplicaState> candidate =
-                CandidateChoice.choose(states, replicas.size(), synchronous);
+                candidate(states, CandidateChoice.choose(states, replicas.size(), synchronous));
         if (candidate.isEmpty()) {
-            closeUnordered("no replica answered");
+            close("no replica answered that may be ordered");
             return;
         }
         boolean isBehind =
@@ -281,62 +263,88 @@
         GatewayEvent.PROMOTION_ORDERED.log(
                 mService,
                 candidate.get().server().id(),
-                mClaim.fencingToken(),
+                mClaim.current().fencingToken(),
                 candidate.get().received());
-        order(candidate.get().server().id());
-    }
-
-    private boolean isClaimTrusted() {
-        long age = TimeUnit.NANOSECONDS.toMillis(now() - mClaimSentNanos);
-        return age < CLAIM_TRUSTED_MILLIS;
-    }
-
-    /** Makes sure that no other instance has taken the claim over, with a new token. */
-    private void renewClaim(String server) {
-        long sent = now();
-        PromotionClaim renewed =
-                new PromotionClaim(mClaim.holder(), mClaim.fencingToken() + 1, true);
-        mTools.claims()
-                .read(mService)
-                .thenCompose(
-                        stored -> {
-                            boolean isOwn =
-                                    stored.isPresent() && stored.get().claim().equals(mClaim);
-                            return isOwn
-                                    ? mTools.claims()
-                                            .write(
-                                                    mService,
-                                                    Optional.of(stored.get().version()),
-                                                    renewed)
-                                    : CompletableFuture.completedFuture(false);
-                        })
-                .whenComplete(
-                        (written, failure) ->
-                                mLoop.execute(
-                                        () -> {
-                                            if (failure != null || !written) {
-                                                // Another instance that took the claim over
-                                                // fences with a higher token of its own.
-                                                if (!mOrdered) {
-                                                    liftFence();
-                                                }
-                                                end("the claim could not be renewed");
-                                                return;
-                                            }
-                                            mClaim = renewed;
-                                            mClaimSentNanos = sent;
-                                            order(server);
-                                        }));
+        recordOrder(candidate.get().server().id());
+    }
+
+    /** Returns whether a server leads that an earlier replacement has ordered. */
+    private boolean isSuccessor(ReplicaState state) {
+        return mTools.guardsPrimaries()
+                && state.primary()
+                && mNewestOrder.isPending()
+                && state.server().id().equals(mNewestOrder.server());
+    }
+
+    /** Returns the server to order: that of an earlier order while it may still be carried out. */
+    private Optional<ReplicaState> candidate(
+            List<ReplicaState> states, Optional<ReplicaState> best) {
+        boolean isUncertain = mNewestOrder.isPending() || mLateOrders;
+        if (!mTools.guardsPrimaries() || !isUncertain) {
+            return best;
+        }
+        Optional<ReplicaState> same =
+                states.stream()
+                        .filter(state -> state.server().id().equals(mNewestOrder.server()))
+                        .findFirst();
+        if (same.isPresent()) {
+            return same;
+        }
+        if (mTools.board().mayBeCarriedOut(mService, mNewestOrder)) {
+            return Optional.empty();
+        }
+        mLateOrders = false;
+        return best;
+    }
+
+    /** Writes the order into the claim, so that instances that start later know of it. */
+    private void recordOrder(String server) {
+        if (!mTools.guardsPrimaries()) {
+            order(server);
+            return;
+        }
+        Succession order = new Succession(mClaim.current().fencingToken() + 1, server, 0);
+        mClaim.renew(
+                order,
+                mLateOrders,
+                isOwn -> {
+                    if (!isOwn) {
+                        // Another instance that took the claim over blocks with a higher token.
+                        release();
+                        end("the claim could not be renewed");
+                        return;
+                    }
+                    orderWhileUnused(server, order);
+                });
+    }
+
+    private void orderWhileUnused(String server, Succession order) {
+        if (now() - mUnusedNanos >= UNUSED_TRUSTED_NANOS) {
+            withdraw(order);
+            close("the instances were told too long ago");
+            return;
+        }
+        mNewestOrder = order;
+        release();
+        order(server);
     }
 
     private void order(String server) {
-        if (!isClaimTrusted()) {
-            renewClaim(server);
+        if (!mClaim.isTrusted()) {
+            mClaim.renew(
+                    mNewestOrder,
+                    mLateOrders,
+                    isOwn -> {
+                        if (isOwn) {
+                            order(server);
+                        } else {
+                            end("the claim could not be renewed");
+                        }
+                    });
             return;
         }
-        mOrdered = true;
         mTools.orders()
-                .promote(mService, server, mClaim)
+                .promote(mService, server, mClaim.current())
                 .whenComplete(
                         (result, failure) ->
                                 mLoop.execute(() -> onOrdered(server, result, failure)));
@@ -348,11 +356,13 @@
             return;
         }
         if (failure == null && result == PromotionResult.REFUSED) {
+            withdraw(mNewestOrder);
             close("the order was refused");
             return;
         }
+        mLateOrders |= failure != null;
         if (isLeading(server)) {
-            close("done");
+            awaitLeading(server, now());
         } else if (elapsedMillis() > ORDERS_END_MILLIS) {
             close("the platform does not take the order");
         } else {
@@ -370,43 +380,54 @@
     }
 
     private void awaitLeading(String server, long orderedNanos) {
-        boolean isLeading = isLeading(server);
-        boolean isLate = TimeUnit.NANOSECONDS.toMillis(now() - orderedNanos) > LEADING_MILLIS;
-        if (isLeading || isLate) {
-            close(isLeading ? "done" : "the server does not say that it leads");
+        if (TimeUnit.NANOSECONDS.toMillis(now() - orderedNanos) > LEADING_MILLIS) {
+            close("the server does not say that it leads");
+            return;
+        }
+        Optional<CatalogServer> entry = mTools.view().get().catalog().server(server);
+        if (mTools.guardsPrimaries() && entry.isPresent()) {
+            mTools.probe()
+                    .send(entry.get(), new Statement.Status(), STATUS_MILLIS)
+                    .thenAccept(
+                            answer ->
+                                    mLoop.execute(() -> onNewStatus(server, orderedNanos, answer)));
+            return;
+        }
+        if (isLeading(server)) {
+            close("done");
             return;
         }
         later(LEADING_POLL_MILLIS, () -> awaitLeading(server, orderedNanos));
     }
 
-    /** Gives up before an order was sent, so that the primary may be used again. */
-    private void closeUnordered(String outcome) {
-        liftFence();
-        close(outcome);
+    private void onNewStatus(String server, long orderedNanos, ProbeAnswer answer) {
+        Optional<ServerStatus> leading = answer.status().filter(ServerStatus::primary);
+        if (leading.isPresent()) {
+            onLeading(leading.get().term());
+            return;
+        }
+        later(LEADING_POLL_MILLIS, () -> awaitLeading(server, orderedNanos));
+    }
+
+    /** Tells all instances which server leads now, and its term. */
+    private void onLeading(long term) {
+        mNewestOrder = new Succession(mNewestOrder.token(), mNewestOrder.server(), term);
+        close("done");
+    }
+
+    /** Forgets an order that cannot be carried out; what held before it holds again. */
+    private void withdraw(Succession order) {
+        mNewestOrder = new Succession(order.token() + 1, mBefore.server(), mBefore.term());
     }
 
-    private void liftFence() {
-        mFencedWith.ifPresent(
-                claim -> mTools.leads().lift(mService, mLast.get().id(), claim.fencingToken()));
+    /** Lets the instances use the primary that the newest order allows. */
+    private void release() {
+        mBlockedWith.ifPresent(token -> mTools.fences().release(mService, token, mNewestOrder));
     }
 
-    /** Marks the claim as ended, so that the next replacement need not wait, and ends. */
+    /** Lets the instances use a primary again, closes the claim and ends. */
     private void close(String outcome) {
-        PromotionClaim ended = new PromotionClaim(mClaim.holder(), mClaim.fencingToken(), false);
-        mTools.claims()
-                .read(mService)
-                .thenCompose(
-                        stored -> {
-                            boolean isOwn =
-                                    stored.isPresent() && stored.get().claim().equals(mClaim);
-                            return isOwn
-                                    ? mTools.claims()
-                                            .write(
-                                                    mService,
-                                                    Optional.of(stored.get().version()),
-                                                    ended)
-                                    : CompletableFuture.completedFuture(false);
-                        })
-                .whenComplete((written, failure) -> mLoop.execute(() -> end(outcome)));
+        release();
+        mClaim.close(mNewestOrder, mLateOrders, () -> end(outcome));
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementCause.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementCause.java
@@ -7,5 +7,7 @@
     /** The primary takes no new work and will end. */
     LEAVING,
     /** No instance reaches the primary. */
-    UNREACHABLE
+    UNREACHABLE,
+    /** The server that says it leads is a former primary. */
+    NOT_BELIEVED
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementTools.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementTools.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.gateway.spi.ClaimStore;
+import org.plantainferry.gateway.spi.InstanceRegistry;
 import org.plantainferry.gateway.spi.PromotionOrders;
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.ServerProbe;
@@ -12,7 +13,9 @@
  * Holds what the replacement of a primary works with.
  *
  * @param holder the name under which this process claims groups
- * @param leads keeps the instances from using a primary that is being replaced
+ * @param fences keeps the instances from using a primary that is being replaced
+ * @param board remembers what is known of replacements
+ * @param instances the list of instances at the store
  * @param guardsPrimaries whether a former primary may go on leading after the order
  */
 record ReplacementTools(
@@ -20,7 +23,9 @@
         ClaimStore claims,
         PromotionOrders orders,
         ServerProbe probe,
-        LeadExchange leads,
+        FenceExchange fences,
+        FenceBoard board,
+        InstanceRegistry instances,
         boolean guardsPrimaries,
         LongSupplier clock,
         Supplier<FleetView> view) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -50,18 +50,23 @@
     RELAY_USED(6205, Logger.Level.WARN, "relay-used server=%s through=%s"),
     /** A connection of another instance was not passed on. */
     RELAY_REFUSED(6206, Logger.Level.WARN, "relay-refused server=%s reason=\"%s\""),
-    /** A primary must not be used, because it is being replaced, or may be used again. */
+    /** A replacement of a primary began or ended, or its outcome became known. */
     PRIMARY_FENCED(
-            6207, Logger.Level.INFO, "primary-fenced service=%s server=%s token=%s state=%s"),
+            6207,
+            Logger.Level.INFO,
+            "primary-fenced service=%s token=%s state=%s ordered=%s term=%s"),
     /** It is decided whether the instances have stopped to use a primary. */
     FENCE_ROUND_ENDED(
             6208,
             Logger.Level.INFO,
-            "fence-round-ended service=%s server=%s decision=%s unconfirmed=%s"),
+            "fence-round-ended service=%s token=%s decision=%s unconfirmed=%s"),
     /** This instance gained or lost the right to use primaries. */
     LEAD_LEASE(6209, Logger.Level.WARN, "lead-lease state=%s heard-domains=%s"),
     /** Two servers claim to lead a group, and the one with the newest term is believed. */
     PRIMARY_SETTLED(6210, Logger.Level.WARN, "primary-settled service=%s server=%s term=%s"),
+    /** A server that says it leads was asked for its term, and is believed or not. */
+    PRIMARY_VERIFIED(
+            6211, Logger.Level.INFO, "primary-verified service=%s server=%s term=%s believed=%s"),
     /** No server could take a request in time. */
     REQUEST_UNPLACED(
             6301,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerChannel.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerChannel.java
@@ -6,6 +6,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -25,26 +27,29 @@
 public final class PeerChannel {
     private final Channel mChannel;
 
-    /**
-     * Opens the port.
-     *
-     * @param listener receives each message with the address of its sender, on the loop
-     */
-    public PeerChannel(
-            EventLoop loop,
-            String localAddress,
-            int port,
-            BiConsumer<InstanceMessage, InetSocketAddress> listener) {
+    /** Opens the port; what arrives waits there until {@link #listen}. */
+    public PeerChannel(EventLoop loop, String localAddress, int port) {
         mChannel =
                 new Bootstrap()
                         .group(loop)
                         .channel(NioDatagramChannel.class)
-                        .handler(new Receiver(listener))
+                        .option(ChannelOption.AUTO_READ, false)
+                        .handler(new ChannelInboundHandlerAdapter())
                         .bind(SocketAddresses.parse(localAddress + ":" + port))
                         .syncUninterruptibly()
                         .channel();
     }
 
+    /**
+     * Begins to receive; called once.
+     *
+     * @param listener receives each message with the address of its sender, on the loop
+     */
+    public void listen(BiConsumer<InstanceMessage, InetSocketAddress> listener) {
+        mChannel.pipeline().addLast(new Receiver(listener));
+        mChannel.config().setAutoRead(true);
+    }
+
     /** Sends a message; an unreachable receiver is not noticed. */
     public void send(InstanceMessage message, InetSocketAddress receiver) {
         mChannel.writeAndFlush(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/ClaimStore.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/ClaimStore.java
@@ -1,5 +1,6 @@
 package org.plantainferry.gateway.spi;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -9,6 +10,9 @@
  * @since 0.2
  */
 public interface ClaimStore {
+    /** Reads the claims of all services; services without a claim are missing. */
+    CompletableFuture<Map<String, PromotionClaim>> readAll();
+
     /** Reads the claim of a service; empty when there is none. */
     CompletableFuture<Optional<StoredClaim>> read(String service);
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -90,7 +90,8 @@
     /** Returns whether this instance has been cut off from the others for more than a moment. */
     private boolean isCutOff() {
         long waited = mBinder.now() - mRequest.arrivedNanos();
-        return !mBinder.mayUsePrimaries() && waited >= CUT_OFF_PATIENCE_NANOS;
+        return !mBinder.mayUsePrimary(mRequest.route().service())
+                && waited >= CUT_OFF_PATIENCE_NANOS;
     }
 
     /** Refuses at once, because the caller can be served sooner by another instance. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Binder.java
@@ -121,9 +121,9 @@
                         });
     }
 
-    /** Returns whether this instance may use primaries at all. */
-    boolean mayUsePrimaries() {
-        return mGuard.isHeld();
+    /** Returns whether this instance may use the primary of a service at all. */
+    boolean mayUsePrimary(String service) {
+        return mGuard.isHeld(service);
     }
 
     private boolean mayUse(ServerPool pool) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LeadGuard.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LeadGuard.java
@@ -1,6 +1,7 @@
 package org.plantainferry.gateway.traffic;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -12,12 +13,17 @@
  */
 public final class LeadGuard {
     /** Where the platform itself takes the lead from the former primary, nothing is guarded. */
-    private static final State OPEN = new State(false, 0, Map.of());
+    private static final State OPEN = new State(false, 0, 0, Set.of(), Map.of());
 
     private final LongSupplier mClock;
     private volatile State mState = OPEN;
 
-    private record State(boolean guards, long leaseUntilNanos, Map<String, String> fenced) {}
+    private record State(
+            boolean guards,
+            long majorityUntilNanos,
+            long storeUntilNanos,
+            Set<String> claimed,
+            Map<String, String> onlyPrimaries) {}
 
     /**
      * Creates a guard that lets everything pass until the first {@link #publish}.
@@ -31,22 +37,40 @@
     /**
      * Publishes what control knows.
      *
-     * @param leaseUntilNanos until when primaries may be used at all
-     * @param fenced by service, the server that must not be used as its primary
+     * @param majorityUntilNanos until when primaries may be used by contact with a majority
+     * @param storeUntilNanos until when they may be used because the store showed no claim
+     * @param claimed the services that had a claim at the store
+     * @param onlyPrimaries by service, the only server that may be used as its primary; empty when
+     *     none may
      */
-    public void publish(long leaseUntilNanos, Map<String, String> fenced) {
-        mState = new State(true, leaseUntilNanos, Map.copyOf(fenced));
+    public void publish(
+            long majorityUntilNanos,
+            long storeUntilNanos,
+            Set<String> claimed,
+            Map<String, String> onlyPrimaries) {
+        mState =
+                new State(
+                        true,
+                        majorityUntilNanos,
+                        storeUntilNanos,
+                        Set.copyOf(claimed),
+                        Map.copyOf(onlyPrimaries));
     }
 
-    /** Returns whether this instance may use primaries at all; it may not while it is cut off. */
-    public boolean isHeld() {
+    /** Returns whether this instance may use the primary of a service at all. */
+    public boolean isHeld(String service) {
         State state = mState;
-        return !state.guards || state.leaseUntilNanos - mClock.getAsLong() > 0;
+        if (!state.guards) {
+            return true;
+        }
+        long now = mClock.getAsLong();
+        boolean isHeldByStore = state.storeUntilNanos - now > 0 && !state.claimed.contains(service);
+        return state.majorityUntilNanos - now > 0 || isHeldByStore;
     }
 
     /** Returns whether a server may be used as the primary of a service now. */
     public boolean mayUse(String service, String server) {
-        State state = mState;
-        return isHeld() && !server.equals(state.fenced.get(service));
+        String only = mState.onlyPrimaries.get(service);
+        return isHeld(service) && (only == null || only.equals(server));
     }
 }
