Hold a lease for primaries from the claims at the store, and start it before other work

Cause: the lease needs a majority of all registered instances. After a restart of all, the lease came 0.4 s after the listener, in three rounds of 150 ms, and until then every request for a primary waited. Change: an instance that finds no claim at the store may use primaries for the time of a lease from the sending of its question (ClaimWatch); it asks at the start, and later only while the lease by majority is in danger. A replacement that every known member has confirmed knows those that have registered before its claim. The list of instances is read first, and an entry that still holds is not written again (two calls less at each start). Without any lease contact is sought every 50 ms. The operators' listener waits 1.5 s after that of callers, because starting Undertow and the metrics costs as much processor time as the first statements. Tests: ClaimWatchTest; ReplacementModelTest with two of five instances left.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/ReplacementModel.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/ReplacementModel.java
@@ -403,6 +403,13 @@
         return Optional.empty();
     }
 
+    /** Stops instances for good, until only some are left. */
+    void leave(int instances) {
+        for (Instance instance : mInstances.subList(instances, INSTANCES)) {
+            instance.mFrozenUntil = Long.MAX_VALUE;
+        }
+    }
+
     int promotions() {
         return mPromotions;
     }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/ReplacementModelTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/ReplacementModelTest.java
@@ -44,6 +44,19 @@
         assertTrue(uses > 100 * LEAST_USES / 2, uses + " uses");
     }
 
+    /** The pattern: most instances lose power, and the store answers those that are left. */
+    @Test
+    public void usesPrimariesWithTheStoreAloneWhereNoMajorityIsLeft() {
+        int uses = 0;
+        for (long seed = 1; seed <= 300; seed++) {
+            ReplacementModel model = new ReplacementModel(seed, Mutation.NONE);
+            model.leave(2);
+            assertEquals(model.play(), Optional.empty());
+            uses += model.uses();
+        }
+        assertTrue(uses > 300 * LEAST_USES / 5, uses + " uses");
+    }
+
     @DataProvider
     public Object[][] mutations() {
         return new Object[][] {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -39,7 +39,9 @@
  */
 public final class Gateway {
     private static final long OPEN_POLL_MILLIS = 10;
-    private static final long OPERATORS_WAIT_MILLIS = 400;
+    // Without a configuration operators have to see that the instance waits for it.
+    private static final long OPERATORS_WAIT_MILLIS = 3_000;
+    private static final long OPERATORS_AFTER_CALLERS_MILLIS = 1_500;
     // The balancer needs two missed health checks, one a second, before it sends no new callers.
     private static final long LEAVING_MILLIS = 2_300;
     private static final long DRAIN_POLL_MILLIS = 50;
@@ -115,8 +117,9 @@
     /**
      * Starts control, and opens the callers' listener when a configuration is known.
      *
-     * <p>The operators' listener opens after that of the callers, because both take processor time
-     * and callers wait for a restarted instance. It also opens when no configuration is found soon.
+     * <p>The operators' listener opens a while after that of the callers, because it takes as much
+     * processor time as the first statements, and callers wait for a restarted instance. It also
+     * opens when no configuration is found soon.
      *
      * @param ended counts down when the process is to end
      * @return whether callers are served; false when the process was told to end before
@@ -125,6 +128,9 @@
         mControl.start();
         mFleet.start();
         openWhenReady(ended, OPERATORS_WAIT_MILLIS);
+        if (mOpen && ended.await(OPERATORS_AFTER_CALLERS_MILLIS, TimeUnit.MILLISECONDS)) {
+            return true;
+        }
         startOperators();
         openWhenReady(ended, Long.MAX_VALUE);
         return mOpen;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -48,6 +48,7 @@
     private boolean mCatalogRead;
     private Map<String, String> mOtherDomains = Map.of();
     private boolean mInstancesRead;
+    private boolean mRegistering;
     private boolean mPatienceEnded;
     private boolean mLapseTimer;
     private final ConfirmedVersion mConfirmed;
@@ -109,7 +110,15 @@
                                     mClock,
                                     new ServersListener())
                             .start();
-                    register();
+                    new FeedFollower<>(
+                                    mLoop,
+                                    "instances",
+                                    mPlatform.instances(),
+                                    INSTANCES_WAIT_MILLIS,
+                                    INSTANCES_PAUSE_MILLIS,
+                                    mClock,
+                                    new InstancesListener())
+                            .start();
                     mLoop.schedule(
                             this::endPatience, INSTANCES_PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
                 });
@@ -122,15 +131,24 @@
         }
     }
 
+    private InstanceEntry ownEntry() {
+        return new InstanceEntry(
+                mSettings.instance(),
+                mSettings.failureDomain(),
+                mSettings.localAddress() + ":" + mSettings.peerPort());
+    }
+
+    /** Writes the entry of this instance, unless that of an earlier process still holds. */
     private void register() {
-        InstanceEntry entry =
-                new InstanceEntry(
-                        mSettings.instance(),
-                        mSettings.failureDomain(),
-                        mSettings.localAddress() + ":" + mSettings.peerPort());
+        if (ownEntry().equals(mInstances.get(mSettings.instance()))) {
+            mRegistering = false;
+            onInstancesChanged();
+            return;
+        }
+        mRegistering = true;
         mPlatform
                 .instances()
-                .register(entry)
+                .register(ownEntry())
                 .whenComplete((done, failure) -> mLoop.execute(() -> onRegistered(failure)));
     }
 
@@ -139,15 +157,18 @@
             mLoop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        new FeedFollower<>(
-                        mLoop,
-                        "instances",
-                        mPlatform.instances(),
-                        INSTANCES_WAIT_MILLIS,
-                        INSTANCES_PAUSE_MILLIS,
-                        mClock,
-                        new InstancesListener())
-                .start();
+        mInstances.put(mSettings.instance(), ownEntry());
+        register();
+    }
+
+    /** Hands on the list of instances, once this one stands in it. */
+    private void onInstancesChanged() {
+        if (!mInstances.containsKey(mSettings.instance())) {
+            return;
+        }
+        mInstancesRead = true;
+        GatewayEvent.INSTANCES_CHANGED.log(mInstances.size() - 1);
+        publishInstances();
     }
 
     /** Returns the latest view. */
@@ -305,7 +326,6 @@
         @Override
         public void onAll(FeedPage<InstanceEntry> page, long sentNanos, long awayNanos) {
             mInstances.clear();
-            mInstancesRead = true;
             apply(page);
         }
 
@@ -323,8 +343,9 @@
                                 value -> mInstances.put(entry.name(), value),
                                 () -> mInstances.remove(entry.name()));
             }
-            GatewayEvent.INSTANCES_CHANGED.log(Math.max(0, mInstances.size() - 1));
-            publishInstances();
+            if (!mRegistering) {
+                register();
+            }
         }
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/LeadExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/LeadExchange.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -33,6 +34,10 @@
  */
 final class LeadExchange {
     private static final long CHECK_MILLIS = 150;
+    private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
+    // Without a lease callers wait, so that contact is sought more often for a while.
+    private static final long URGENT_CHECK_MILLIS = 50;
+    private static final long URGENT_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long PASSED_OVER_MILLIS = 600;
     // Each member asks within this time even when one of its datagrams is lost.
     private static final long MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -57,6 +62,7 @@
     private long mNumber;
     private boolean mStarted;
     private boolean mHeld;
+    private long mNotHeldSinceNanos;
 
     private record Question(String asked, long sentNanos) {}
 
@@ -90,6 +96,7 @@
     /** Begins to guard primaries; without it {@link LeadGuard} lets everything pass. */
     void start() {
         mStarted = true;
+        mNotHeldSinceNanos = mClock.getAsLong();
         publish();
         check();
     }
@@ -112,10 +119,12 @@
     }
 
     private void check() {
-        mLoop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         long now = mClock.getAsLong();
-        mQuestions.values().forEach(question -> mSpeakers.passOver(question.asked, now));
-        mQuestions.clear();
+        boolean isHeldByStore = mClaims.heldUntilNanos() - now > 0;
+        boolean isUrgent = !mHeld && !isHeldByStore && now - mNotHeldSinceNanos < URGENT_NANOS;
+        mLoop.schedule(
+                this::check, isUrgent ? URGENT_CHECK_MILLIS : CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        passOverSilent(now);
         mBoard.expire();
         ask();
         if (!mClaims.isKnown() || isWorried(now)) {
@@ -124,6 +133,16 @@
         publish();
     }
 
+    /** Looks past instances that have left a question without an answer. */
+    private void passOverSilent(long nowNanos) {
+        List<Question> silent =
+                mQuestions.values().stream()
+                        .filter(question -> nowNanos - question.sentNanos >= ANSWER_NANOS)
+                        .toList();
+        silent.forEach(question -> mSpeakers.passOver(question.asked, nowNanos));
+        mQuestions.values().removeAll(silent);
+    }
+
     private void ask() {
         long now = mClock.getAsLong();
         Optional<String> own = mSpeakers.speaker(mFailureDomain, now);
@@ -275,10 +294,11 @@
         long now = mClock.getAsLong();
         // Orders of earlier days are known from the store only.
         long until = mClaims.isKnown() ? mLease.heldUntilNanos(now) : now;
-        mGuard.publish(until, now, mClaims.claimed(), mBoard.onlyPrimaries());
+        mGuard.publish(until, mClaims.heldUntilNanos(), mClaims.claimed(), mBoard.onlyPrimaries());
         boolean isHeld = until - now > 0;
         if (isHeld != mHeld) {
             mHeld = isHeld;
+            mNotHeldSinceNanos = now;
             GatewayEvent.LEAD_LEASE.log(isHeld ? "held" : "lost", mLease.contacts().keySet());
         }
     }
--- /dev/null
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ClaimWatchTest.java
@@ -0,0 +1,144 @@
+package org.plantainferry.gateway.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.engine.promotion.GroupFence;
+import org.plantainferry.engine.promotion.LeadLease;
+import org.plantainferry.engine.promotion.Succession;
+import org.plantainferry.gateway.spi.ClaimStore;
+import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoredClaim;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards the lease from the claims at the store: the pattern is a fleet of which fewer than half
+ * are left, or that has just been started again, while the store answers.
+ */
+public final class ClaimWatchTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    /** Answers when the test lets it. */
+    private static final class FakeStore implements ClaimStore {
+        private int mReads;
+        private CompletableFuture<Map<String, PromotionClaim>> mNext;
+
+        @Override
+        public CompletableFuture<Map<String, PromotionClaim>> readAll() {
+            mReads++;
+            mNext = new CompletableFuture<>();
+            return mNext;
+        }
+
+        @Override
+        public CompletableFuture<Optional<StoredClaim>> read(String service) {
+            throw new AssertionError("one claim is not read");
+        }
+
+        @Override
+        public CompletableFuture<Boolean> write(
+                String service, Optional<Long> expectedVersion, PromotionClaim claim) {
+            throw new AssertionError("nothing is written");
+        }
+    }
+
+    private final FakeStore mStore = new FakeStore();
+    private EventLoop mLoop;
+    private long mNow;
+    private Map<String, GroupFence> mFences;
+    private ClaimWatch mWatch;
+
+    @BeforeMethod
+    public void createWatch() {
+        mLoop = new DefaultEventLoop();
+        mStore.mReads = 0;
+        mNow = 1_000 * MILLI;
+        mFences = new HashMap<>();
+        mWatch = new ClaimWatch(mLoop, mStore, () -> mNow, mFences::put, () -> {});
+    }
+
+    @AfterMethod
+    public void stopLoop() {
+        mLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private void answer(Map<String, PromotionClaim> claims) throws Exception {
+        mStore.mNext.complete(claims);
+        // The watch takes the answer on its loop; this runs after it.
+        mLoop.submit(() -> {}).get();
+    }
+
+    private boolean isHeld() {
+        return mWatch.heldUntilNanos() - mNow > 0;
+    }
+
+    @Test
+    public void readsNothingBeforeTheInstanceStandsInTheList() {
+        mWatch.read();
+
+        assertEquals(mStore.mReads, 0);
+        assertFalse(isHeld());
+    }
+
+    @Test
+    public void holdsTheLeaseFromTheSendingOfTheQuestion() throws Exception {
+        mWatch.onRegistered();
+        mNow += 400 * MILLI;
+        answer(Map.of());
+
+        assertEquals(mWatch.heldUntilNanos(), 1_000 * MILLI + LeadLease.LEASE_NANOS);
+        assertTrue(isHeld());
+        mNow += LeadLease.LEASE_NANOS;
+        assertFalse(isHeld());
+    }
+
+    @Test
+    public void holdsNoLeaseForAGroupThatIsClaimed() throws Exception {
+        mWatch.onRegistered();
+        Succession order = new Succession(4, "s2", 3);
+        answer(
+                Map.of(
+                        "claimed", new PromotionClaim("a", 5, true, order, false),
+                        "ended", new PromotionClaim("a", 5, false, order, false)));
+
+        assertEquals(mWatch.claimed(), Set.of("claimed"));
+        assertEquals(mFences.get("ended").succession(), order);
+    }
+
+    @Test
+    public void keepsNoLeaseAliveWhenTheStoreDoesNotAnswer() throws Exception {
+        mWatch.onRegistered();
+        mStore.mNext.completeExceptionally(new IllegalStateException("the store is away"));
+        mLoop.submit(() -> {}).get();
+
+        assertFalse(isHeld());
+        assertFalse(mWatch.isKnown());
+    }
+
+    @Test
+    public void asksTheStoreNotMoreOftenThanTheLeaseNeeds() throws Exception {
+        mWatch.onRegistered();
+        answer(Map.of());
+        for (int millis = 0; millis < 10_000; millis += 30) {
+            mWatch.read();
+            if (!mStore.mNext.isDone()) {
+                answer(Map.of());
+            }
+            assertTrue(isHeld());
+            mNow += 30 * MILLI;
+        }
+
+        assertTrue(mStore.mReads <= 22, mStore.mReads + " calls in 10 s");
+    }
+}
