--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ClaimWatch.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ClaimWatch.java
@@ -9,8 +9,10 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.promotion.GroupFence;
 import org.plantainferry.engine.promotion.LeadLease;
+import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.network.http.Futures;
 
 /**
  * Holds a lease for primaries from the claims at the store, where no majority of instances is.
@@ -78,7 +80,9 @@
     private void onClaims(Map<String, PromotionClaim> claims, Throwable failure, long sentNanos) {
         mReading = false;
         if (failure != null) {
-            // The followers of the store log that it is away; the lease ends by itself.
+            // The lease ends by itself.
+            GatewayEvent.STORE_LEASE.log(
+                    "unconfirmed", mClaimed, Futures.cause(failure).getMessage());
             return;
         }
         Set<String> claimed = new HashSet<>();
@@ -89,6 +93,9 @@
                         claimed.add(service);
                     }
                 });
+        if (mHeldUntilNanos - mClock.getAsLong() <= 0) {
+            GatewayEvent.STORE_LEASE.log("held", claimed, "the claims were read");
+        }
         mClaimed = Set.copyOf(claimed);
         mHeldUntilNanos = sentNanos + LeadLease.LEASE_NANOS;
         mKnown = true;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -67,6 +67,8 @@
     /** A server that says it leads was asked for its term, and is believed or not. */
     PRIMARY_VERIFIED(
             6211, Logger.Level.INFO, "primary-verified service=%s server=%s term=%s believed=%s"),
+    /** The claims at the store allow or no longer allow to use primaries. */
+    STORE_LEASE(6212, Logger.Level.INFO, "store-lease state=%s claimed=%s reason=\"%s\""),
     /** No server could take a request in time. */
     REQUEST_UNPLACED(
             6301,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/BindAttempt.java
@@ -96,7 +96,7 @@
 
     /** Refuses at once, because the caller can be served sooner by another instance. */
     private void refuseCutOff() {
-        mLastReason = "this instance is cut off from most others";
+        mLastReason = "this instance reaches neither most others nor the store";
         refuse(RETRY_AFTER_CUT_OFF_MILLIS);
     }
 
