Ask the others also when the own probe of a primary has failed early

Cause: since the others were asked 120 ms after the probe began only while it was still open. A probe that had failed by then, as where the connection is refused, started no question, and the suspicion of that group never ended: such a primary was replaced only when its entry lapsed. Change: the question goes out unless the probe has shown that the primary lives. Test: a primary that refuses connections while its entry stays (GatewayEndToEndTest): failed without the change, passes with it, as does replacesAPrimaryThatCrashed.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryKeeper.java
@@ -214,7 +214,8 @@
         probe.thenAccept(answer -> mLoop.execute(() -> onProbed(service, answer)));
         mLoop.schedule(
                 () -> {
-                    if (!probe.isDone()) {
+                    // A probe may also have failed by then, as where the connection is refused.
+                    if (!probe.getNow(ProbeAnswer.NONE).alive()) {
                         poll(service, server, probe);
                     }
                 },
