Divide limits right after a restart by what the others report, not by what is unknown

Cause: a restarted instance stays listed under its name, so the others took its first report for a repeated one and did not answer it with theirs. Until their next periodic report (up to 5 s) it counted each of them with an even share of the limit. The same lack makes shares wrong after all processes restart.

Change: a demand report names the sending process, and the first report of each process is answered (ReportingProcesses). For 6 s after its start an instance counts one that has not reported with at least its own demand (DemandShares).

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/DemandShares.java
@@ -10,8 +10,9 @@
  * <p>All instances that have received the same reports compute shares that add up to one. The last
  * report of a silent instance counts for some time, because the instance may still serve requests
  * behind a network partition. A registered instance that has not reported yet counts with an even
- * share. A report covers all workspaces: one that it does not contain has no demand. Not
- * thread-safe.
+ * share, and while this instance has only just started, with at least the demand of this instance:
+ * the others may be as busy, and would already have divided the whole limit among themselves. A
+ * report covers all workspaces: one that it does not contain has no demand. Not thread-safe.
  *
  * @since 0.2
  */
@@ -19,6 +20,9 @@
     /** The time for which the last report of a silent instance counts. */
     public static final long REPORT_LIFETIME_NANOS = 12_000_000_000L;
 
+    /** The time after a start within which each running instance has reported at least once. */
+    static final long FIRST_REPORTS_NANOS = 6_000_000_000L;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
     // An instance without demand keeps this fraction of an even share to serve a first caller.
     private static final double IDLE_FRACTION = 0.15;
@@ -33,6 +37,12 @@
     }
 
     private final Map<String, Report> mReports = new HashMap<>();
+    private final long mStartedNanos;
+
+    /** Creates the shares of an instance that starts now and has received no report. */
+    public DemandShares(long nowNanos) {
+        mStartedNanos = nowNanos;
+    }
 
     /** Records the demand reported by another instance, in operations per second by workspace. */
     public void report(String instance, Map<String, Double> demandPerSecond, long nowNanos) {
@@ -56,10 +66,12 @@
         mReports.values()
                 .removeIf(report -> nowNanos - report.receivedNanos() > REPORT_LIFETIME_NANOS);
         double evenShare = ratePerSecond / (others.size() + 1);
+        boolean isStarting = nowNanos - mStartedNanos < FIRST_REPORTS_NANOS;
+        double unreportedDemand = isStarting ? Math.max(evenShare, ownDemand) : evenShare;
         double demand = ownDemand;
         for (String other : others) {
             Report report = mReports.get(other);
-            demand += report == null ? evenShare : report.demandOf(workspace);
+            demand += report == null ? unreportedDemand : report.demandOf(workspace);
         }
         for (Map.Entry<String, Report> entry : mReports.entrySet()) {
             demand += others.contains(entry.getKey()) ? 0 : entry.getValue().demandOf(workspace);
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/quota/DemandSharesTest.java
@@ -30,7 +30,7 @@
     private static double sumOfShares(double[] demand, double rate) {
         double sum = 0;
         for (int self = 0; self < demand.length; self++) {
-            DemandShares shares = new DemandShares();
+            DemandShares shares = new DemandShares(0);
             for (int other = 0; other < demand.length; other++) {
                 if (other != self) {
                     shares.report("i" + other, Map.of("w", demand[other]), 0);
@@ -48,22 +48,36 @@
 
     @Test
     public void givesAnInstanceWithMostOfTheDemandMostOfTheLimit() {
-        DemandShares shares = new DemandShares();
+        DemandShares shares = new DemandShares(0);
         shares.report("i1", Map.of("w", 1.0), 0);
         shares.report("i2", Map.of("w", 1.0), 0);
         assertTrue(shares.share("w", others(3, 0), 98, 100, SECOND) > 0.8);
     }
 
+    /** Guards against the excess of 87 operations in 5 s that a soak found after a restart. */
+    @Test
+    public void takesNoMoreThanAnEvenShareBeforeTheReportsOfBusyInstancesHaveArrived() {
+        DemandShares restarted = new DemandShares(0);
+        assertTrue(restarted.share("w", others(4, 0), 20, 8, SECOND) <= 0.25);
+    }
+
+    @Test
+    public void countsAnInstanceThatNeverReportsAsAnEvenShareOnceAllOthersHaveReported() {
+        DemandShares shares = new DemandShares(0);
+        double share = shares.share("w", others(2, 0), 20, 8, DemandShares.FIRST_REPORTS_NANOS);
+        assertTrue(share > 0.75);
+    }
+
     @Test
     public void reservesAShareForAnIdleInstance() {
-        DemandShares shares = new DemandShares();
+        DemandShares shares = new DemandShares(0);
         shares.report("i1", Map.of("w", 100.0), 0);
         assertTrue(shares.share("w", others(2, 0), 0, 100, SECOND) > 0.03);
     }
 
     @Test
     public void countsAReportWithoutTheWorkspaceAsNoDemand() {
-        DemandShares shares = new DemandShares();
+        DemandShares shares = new DemandShares(0);
         for (int index = 1; index < 15; index++) {
             shares.report("i" + index, Map.of("another", 3.0), 0);
         }
@@ -72,7 +86,7 @@
 
     @Test
     public void countsASilentInstanceUntilItsReportExpires() {
-        DemandShares shares = new DemandShares();
+        DemandShares shares = new DemandShares(0);
         shares.report("i1", Map.of("w", 50.0), 0);
         double shareBeforeExpiry = shares.share("w", Set.of(), 50, 100, SECOND);
         double shareAfterExpiry =
@@ -142,7 +156,7 @@
             mBurst = burst;
             mTolerance = tolerance;
             for (int index = 0; index < instances; index++) {
-                mShares.add(new DemandShares());
+                mShares.add(new DemandShares(0));
                 mDemand.add(new DemandRate(0));
                 mPolicies.add(new DemandReportPolicy(0));
                 mBuckets.add(new ResizableTokenBucket(0));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
@@ -2,9 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.Random;
+import org.plantainferry.engine.quota.ReportingProcesses;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.DemandReport;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
@@ -24,15 +24,22 @@
     private final String mInstance;
     private final TrafficServer mTraffic;
     private final PeerChannel mPeers;
-    private final Set<String> mReportingInstances = new HashSet<>();
+    private final long mProcess;
+    private final ReportingProcesses mReportingProcesses = new ReportingProcesses();
     private Map<String, InstanceEntry> mOtherInstances = Map.of();
     private Map<String, Double> mLastReported = Map.of();
 
-    DemandExchange(EventLoop loop, String instance, TrafficServer traffic, PeerChannel peers) {
+    DemandExchange(
+            EventLoop loop,
+            String instance,
+            TrafficServer traffic,
+            PeerChannel peers,
+            Random random) {
         mLoop = loop;
         mInstance = instance;
         mTraffic = traffic;
         mPeers = peers;
+        mProcess = random.nextLong();
     }
 
     /** Broadcasts the demand reported by the traffic thread; may be called from any thread. */
@@ -49,7 +56,7 @@
     void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
         boolean isFirstList = mOtherInstances.isEmpty();
         mOtherInstances = otherInstances;
-        mReportingInstances.retainAll(otherInstances.keySet());
+        mReportingProcesses.retain(otherInstances.keySet());
         if (isFirstList) {
             // Earlier reports reached no instance, because the others were not known.
             broadcast(mLastReported);
@@ -57,7 +64,7 @@
     }
 
     private InstanceMessage message(Map<String, Double> demand) {
-        DemandReport.Builder report = DemandReport.newBuilder();
+        DemandReport.Builder report = DemandReport.newBuilder().setProcess(mProcess);
         demand.forEach(
                 (workspace, perSecond) -> {
                     if (perSecond >= MIN_REPORTED_PER_SECOND) {
@@ -72,8 +79,7 @@
 
     void onReport(String instance, DemandReport report) {
         InstanceEntry sender = mOtherInstances.get(instance);
-        if (sender != null && mReportingInstances.add(instance)) {
-            // A newly started instance cannot divide limits accurately until it has all reports.
+        if (sender != null && mReportingProcesses.isFirstReport(instance, report.getProcess())) {
             mPeers.send(message(mLastReported), sender.peerAddress());
         }
         Map<String, Double> demand = new HashMap<>();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -65,7 +65,8 @@
         new RelayServer(loop, settings.localAddress(), id -> view.get().catalog().server(id))
                 .start(settings.peerPort());
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
-        mDemandExchange = new DemandExchange(loop, settings.instance(), traffic, peers);
+        mDemandExchange =
+                new DemandExchange(loop, settings.instance(), traffic, peers, new Random());
         mReachabilityPoll =
                 new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
         mConfirmationExchange =
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceRateLimiter.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceRateLimiter.java
@@ -72,7 +72,7 @@
     private final Consumer<Map<String, Double>> mReportSink;
     private final DemandReportPolicy mReportPolicy;
     private long mReportCheckNanos;
-    private final DemandShares mShares = new DemandShares();
+    private final DemandShares mShares;
     private final Map<String, Share> mByWorkspace = new HashMap<>();
     private Map<String, String> mOwnersComputedFrom = Map.of();
     private LimitOwners mOwners;
@@ -94,6 +94,7 @@
         mBorrower = borrower;
         mReportSink = reportSink;
         mReportCheckNanos = steadyClock.getAsLong();
+        mShares = new DemandShares(mReportCheckNanos);
         mReportPolicy = new DemandReportPolicy(mReportCheckNanos);
     }
 
