Follow the store through one instance of each failure domain, and read evacuations

The number of calls grows with instances times changes.

Change: all instances read the lists once at the start. The instance of each failure domain that confirms the configuration also watches the store; the others subscribe to it over one TCP connection (PeerListener, FeedPublisher, FeedLink) and receive changed objects with the revisions of the store, so nothing older than what is known is applied. The configuration, which contains keys, is passed on as a notice only. A source that is silent, stale or behind (FeedLag) is replaced by the next in rank, and without one the instance watches the store itself. experimental.storeFollowing = direct keeps the former way for comparisons. Connections of other instances name their purpose in the first line (relay SERVER, feeds). Objects of the kind evacuations are read where the setting evacuationMillis is present; what follows from them comes with the next change.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/ConfirmationSources.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/ConfirmationSources.java
@@ -46,6 +46,11 @@
         mRepresentatives.exclude(instance, nowNanos);
     }
 
+    /** Asks all instances again, because the store is back after an outage. */
+    public void clearExclusions() {
+        mRepresentatives.clearExclusions();
+    }
+
     /** Returns the instance to ask; empty when this instance is to ask the store itself. */
     public Optional<String> choose(long nowNanos) {
         return mRepresentatives
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/ConfirmedVersion.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/ConfirmedVersion.java
@@ -48,6 +48,15 @@
         return false;
     }
 
+    /**
+     * Records that a version exists, without a confirmation that it is the newest.
+     *
+     * <p>It contains all changes up to the time for which an earlier version was confirmed.
+     */
+    public void onVersion(long version) {
+        mVersion = Math.max(mVersion, version);
+    }
+
     private void confirm(long nanos) {
         if (nanos - mConfirmedNanos > 0) {
             mConfirmedNanos = nanos;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainRepresentatives.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainRepresentatives.java
@@ -48,6 +48,11 @@
         mExcludedUntilNanos.remove(instance);
     }
 
+    /** Ends all exclusions, because what caused them may be over. */
+    public void clearExclusions() {
+        mExcludedUntilNanos.clear();
+    }
+
     /** Returns the failure domains that have at least one instance. */
     public Set<String> domains() {
         return new HashSet<>(mDomainByInstance.values());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -19,7 +19,9 @@
 import org.plantainferry.engine.freshness.TimedPosition;
 import org.plantainferry.gateway.control.ControlPlane;
 import org.plantainferry.gateway.control.FleetController;
+import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PlatformAdapter;
@@ -63,8 +65,16 @@
         EventLoop traffic = singleThread("traffic").next();
         PlatformConnection platform = adapter.connect(settings, controlGroup);
         LongSupplier clock = new SuspensionAwareClock(System::nanoTime, System::currentTimeMillis);
+        StoreFollowing following =
+                new StoreFollowing(
+                        controlGroup.next(),
+                        settings.instance(),
+                        settings.localAddress(),
+                        clock,
+                        this::onSourceLost);
         mControlPlane =
-                new ControlPlane(controlGroup.next(), settings, platform, clock, this::onView);
+                new ControlPlane(
+                        controlGroup.next(), settings, platform, clock, following, this::onView);
         PrimaryLeaseGuard guard = new PrimaryLeaseGuard(clock);
         mTraffic =
                 new TrafficServer(
@@ -86,6 +96,7 @@
                         platform,
                         mTraffic,
                         mControlPlane,
+                        following,
                         clock,
                         guard);
     }
@@ -100,6 +111,10 @@
         mFleetController.onView(view, otherInstances);
     }
 
+    private void onSourceLost(String source) {
+        mFleetController.onSourceLost(source);
+    }
+
     private SuspectedPrimaryListener suspectedPrimaryListener() {
         return mFleetController.suspectedPrimaryListener();
     }
@@ -134,6 +149,9 @@
      * @return whether callers are served; false if the process was asked to terminate before
      */
     public boolean start(CountDownLatch ended) throws InterruptedException {
+        if (!mSettings.experimental().equals(ExperimentalSettings.NONE)) {
+            GatewayEvent.EXPERIMENT.log(mSettings.experimental());
+        }
         mControlPlane.start();
         mFleetController.start();
         openWhenReady(ended, OPERATOR_ENDPOINT_TIMEOUT_MILLIS);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -1,6 +1,7 @@
 package org.plantainferry.gateway.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -10,20 +11,24 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.freshness.ConfirmationSources;
+import org.plantainferry.engine.freshness.FeedLag;
+import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.ConfirmationAnswer;
 import org.plantainferry.gateway.peer.generated.ConfirmationQuestion;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.traffic.FleetView;
 
 /**
- * Keeps the confirmation of the configuration fresh with the help of other instances.
+ * Keeps the confirmation of the configuration fresh with the help of other instances, and chooses
+ * the instance through which this one follows the store.
  *
- * <p>One instance of each failure domain reads the store, and the others ask that instance. An
- * instance whose confirmation becomes stale nevertheless reads the store itself. Used by the
- * control thread only.
+ * <p>One instance of each failure domain reads and watches the store, and the others ask and follow
+ * that instance. An instance whose confirmation becomes stale nevertheless reads the store itself.
+ * Used by the control thread only.
  */
 final class ConfirmationExchange {
     private static final long CHECK_INTERVAL_MILLIS = 250;
@@ -31,17 +36,25 @@
     private static final double FRESH_FRACTION = 1 / 3.0;
     // Leaves the remainder of the bound for further requests, also if a watch gets no answer.
     private static final double STALE_FRACTION = 0.6;
+    // Without the list of instances, an instance would take itself for the only one.
+    private static final long INSTANCES_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final EventLoop mLoop;
     private final String mInstance;
     private final ControlPlane mControl;
+    private final StoreFollowing mFollowing;
+    private final boolean mFollowsInstances;
     private final PeerChannel mPeers;
     private final LongSupplier mClock;
     private final ConfirmationSources mSources;
+    private final FeedLag mLag = new FeedLag();
     private final long mFreshNanos;
     private final long mStaleNanos;
     private Map<String, InstanceEntry> mOtherInstances = Map.of();
+    private boolean mInstancesKnown;
+    private long mStartedNanos;
     private Optional<String> mAwaitedSource = Optional.empty();
+    private Optional<ScheduledFuture<?>> mNextCheck = Optional.empty();
     private long mLastQuestionNumber;
     private long mAskedNanos;
     private int mStoreReads;
@@ -51,12 +64,16 @@
             EventLoop loop,
             GatewaySettings settings,
             ControlPlane control,
+            StoreFollowing following,
             PeerChannel peers,
             LongSupplier clock,
             Random random) {
         mLoop = loop;
         mInstance = settings.instance();
         mControl = control;
+        mFollowing = following;
+        mFollowsInstances =
+                settings.experimental().storeFollowing().equals(ExperimentalSettings.DOMAIN);
         mPeers = peers;
         mClock = clock;
         long boundNanos = TimeUnit.MILLISECONDS.toNanos(settings.configurationMillis());
@@ -68,15 +85,19 @@
     }
 
     void start() {
+        mStartedNanos = mClock.getAsLong();
         scheduleCheck();
     }
 
     private void scheduleCheck() {
         long untilStaleMillis = TimeUnit.NANOSECONDS.toMillis(mFreshNanos - ageNanos()) + 1;
-        mLoop.schedule(
-                this::check,
-                Math.max(CHECK_INTERVAL_MILLIS, untilStaleMillis),
-                TimeUnit.MILLISECONDS);
+        boolean isUrgent = !mFollowing.isFollowing() || mLag.isBehind();
+        long delayMillis =
+                isUrgent
+                        ? CHECK_INTERVAL_MILLIS
+                        : Math.max(CHECK_INTERVAL_MILLIS, untilStaleMillis);
+        mNextCheck.ifPresent(check -> check.cancel(false));
+        mNextCheck = Optional.of(mLoop.schedule(this::check, delayMillis, TimeUnit.MILLISECONDS));
     }
 
     private long ageNanos() {
@@ -88,6 +109,16 @@
         Map<String, String> domains = new HashMap<>();
         otherInstances.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
         mSources.onInstances(domains);
+        if (!mInstancesKnown) {
+            mInstancesKnown = true;
+            check();
+        }
+    }
+
+    /** Chooses another source because the connection to the followed instance has ended. */
+    void onSourceLost(String source) {
+        mSources.exclude(source, mClock.getAsLong());
+        check();
     }
 
     private void check() {
@@ -96,8 +127,11 @@
         mAwaitedSource.ifPresent(silent -> mSources.exclude(silent, now));
         mAwaitedSource = Optional.empty();
         long ageNanos = ageNanos();
-        if (ageNanos < mFreshNanos) {
-            mStoreReads = 0;
+        boolean isFresh = ageNanos < mFreshNanos;
+        if (isFresh && mFollowing.isFollowing() && !mLag.isBehind()) {
+            return;
+        }
+        if (!mInstancesKnown && now - mStartedNanos < INSTANCES_TIMEOUT_NANOS) {
             return;
         }
         Optional<String> source = mSources.choose(now);
@@ -119,7 +153,20 @@
         long delayMillis = CHECK_INTERVAL_MILLIS << Math.min(MAX_BACKOFF_DOUBLINGS, mStoreReads);
         mStoreReads++;
         mNextStoreReadNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
-        mControl.confirmFromStore();
+        mFollowing.readConfiguration(this::onReadFromStore);
+    }
+
+    /** Follows the store if no other instance is left to follow. */
+    private void onReadFromStore() {
+        boolean isAfterOutage = mStoreReads > 1;
+        mStoreReads = 0;
+        if (isAfterOutage) {
+            mSources.clearExclusions();
+        }
+        if (mSources.choose(mClock.getAsLong()).isEmpty()) {
+            mLag.reset();
+            mFollowing.followStore();
+        }
     }
 
     private void ask(String source, long nowNanos) {
@@ -142,7 +189,8 @@
                 ConfirmationAnswer.newBuilder()
                         .setNumber(question.getNumber())
                         .setVersion(view.configuration().version())
-                        .setAgeMillis(AgeCodec.encodeMillis(ageNanos));
+                        .setAgeMillis(AgeCodec.encodeMillis(ageNanos))
+                        .addAllRevisions(mFollowing.lastChanges());
         mPeers.send(
                 InstanceMessage.newBuilder()
                         .setInstance(mInstance)
@@ -158,10 +206,21 @@
         }
         String source = mAwaitedSource.get();
         mAwaitedSource = Optional.empty();
+        long now = mClock.getAsLong();
         long ageNanos = AgeCodec.decodeNanos(answer.getAgeMillis());
         if (ageNanos >= mStaleNanos) {
-            mSources.exclude(source, mClock.getAsLong());
+            mSources.exclude(source, now);
+        } else if (mFollowsInstances) {
+            follow(mOtherInstances.get(source), answer, now);
         }
         mControl.onPeerConfirmation(mAskedNanos, answer.getVersion(), ageNanos);
     }
+
+    private void follow(InstanceEntry source, ConfirmationAnswer answer, long nowNanos) {
+        mFollowing.follow(source);
+        boolean isBehind = mFollowing.isBehind(answer.getRevisionsList());
+        if (mLag.onAnswer(isBehind, nowNanos)) {
+            mFollowing.reopenLink();
+        }
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -2,15 +2,21 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.engine.freshness.ConfirmedVersion;
+import org.plantainferry.gateway.feed.FeedListener;
+import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
@@ -27,11 +33,6 @@
  * @since 0.2
  */
 public final class ControlPlane {
-    private static final long CONFIGURATION_WATCH_MILLIS = 15_000;
-    private static final long SERVERS_WATCH_MILLIS = 12_000;
-    private static final long SERVERS_BATCH_MILLIS = 300;
-    private static final long INSTANCES_WATCH_MILLIS = 30_000;
-    private static final long INSTANCES_BATCH_MILLIS = 2_000;
     private static final long EXPIRY_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
     // Limits are divided among the listed instances. Without the list, a new process would use the
@@ -51,10 +52,13 @@
     private Map<String, String> mOtherInstanceDomains = Map.of();
     private boolean mInstancesRead;
     private boolean mRegistering;
+    private boolean mRegistered;
     private boolean mInstancesTimedOut;
     private boolean mExpiryScheduled;
     private final ConfirmedVersion mConfirmedVersion;
-    private FeedFollower<RoutingConfiguration> mConfigurationFollower;
+    private final StoreFollowing mFollowing;
+    private Set<String> mEvacuatedDomains = Set.of();
+    private boolean mEvacuationsRead;
     private volatile FleetView mView;
     private volatile boolean mReady;
 
@@ -74,56 +78,45 @@
      *
      * @param loop the event loop of the control thread
      * @param clock a clock in nanoseconds that advances while the machine is suspended
+     * @param following provides the feeds of the store
      */
     public ControlPlane(
             EventLoop loop,
             GatewaySettings settings,
             PlatformConnection platform,
             LongSupplier clock,
+            StoreFollowing following,
             ViewListener listener) {
         mLoop = loop;
         mSettings = settings;
         mPlatform = platform;
         mClock = clock;
+        mFollowing = following;
+        mEvacuationsRead = settings.evacuationMillis().isEmpty();
         mListener = listener;
         mConfirmedVersion = new ConfirmedVersion(clock.getAsLong() - TimeUnit.HOURS.toNanos(1));
         mView =
                 new FleetView(
-                        mConfiguration, mCatalog, mConfirmedVersion.confirmedNanos(), Map.of());
+                        mConfiguration,
+                        mCatalog,
+                        mConfirmedVersion.confirmedNanos(),
+                        Map.of(),
+                        Set.of());
     }
 
     /** Starts to watch the store; may be called from any thread. */
     public void start() {
         mLoop.execute(
                 () -> {
-                    mConfigurationFollower =
-                            new FeedFollower<>(
-                                    mLoop,
-                                    "configuration",
-                                    mPlatform.configuration(),
-                                    CONFIGURATION_WATCH_MILLIS,
-                                    0,
-                                    mClock,
-                                    new ConfigurationListener());
-                    mConfigurationFollower.start();
-                    new FeedFollower<>(
-                                    mLoop,
-                                    "servers",
-                                    mPlatform.servers(),
-                                    SERVERS_WATCH_MILLIS,
-                                    SERVERS_BATCH_MILLIS,
-                                    mClock,
-                                    new ServersListener())
-                            .start();
-                    new FeedFollower<>(
-                                    mLoop,
-                                    "instances",
-                                    mPlatform.instances(),
-                                    INSTANCES_WATCH_MILLIS,
-                                    INSTANCES_BATCH_MILLIS,
-                                    mClock,
-                                    new InstancesListener())
-                            .start();
+                    mFollowing.addConfiguration(
+                            mPlatform.configuration(), new ConfigurationListener());
+                    mFollowing.addServers(mPlatform.servers(), new ServersListener());
+                    mFollowing.addInstances(mPlatform.instances(), new InstancesListener());
+                    if (mSettings.evacuationMillis().isPresent()) {
+                        mFollowing.addEvacuations(
+                                mPlatform.evacuations(), new EvacuationsListener());
+                    }
+                    startFollowing();
                     mLoop.schedule(
                             this::onInstancesTimeout,
                             INSTANCES_TIMEOUT_MILLIS,
@@ -131,6 +124,14 @@
                 });
     }
 
+    private void startFollowing() {
+        if (mSettings.experimental().storeFollowing().equals(ExperimentalSettings.DIRECT)) {
+            mFollowing.followStore();
+        } else {
+            mFollowing.read();
+        }
+    }
+
     private void onInstancesTimeout() {
         mInstancesTimedOut = true;
         if (!mInstancesRead) {
@@ -164,6 +165,7 @@
             mLoop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        mRegistered = true;
         mInstances.put(mSettings.instance(), ownEntry());
         register();
     }
@@ -211,8 +213,13 @@
                         mConfiguration,
                         mCatalog,
                         mConfirmedVersion.confirmedNanos(),
-                        mOtherInstanceDomains);
-        mReady = mConfiguration.version() > 0 && mCatalogRead && isInstanceListReadOrTimedOut();
+                        mOtherInstanceDomains,
+                        mEvacuatedDomains);
+        mReady =
+                mConfiguration.version() > 0
+                        && mCatalogRead
+                        && mEvacuationsRead
+                        && isInstanceListReadOrTimedOut();
         mListener.onView(mView, instances);
     }
 
@@ -228,14 +235,8 @@
                         view.configuration(),
                         view.catalog(),
                         mConfirmedVersion.confirmedNanos(),
-                        view.otherInstanceDomains());
-    }
-
-    /**
-     * Reads the store to confirm that the configuration is current; for the control thread only.
-     */
-    void confirmFromStore() {
-        mConfigurationFollower.readConcurrently();
+                        view.otherInstanceDomains(),
+                        view.evacuatedDomains());
     }
 
     /**
@@ -250,7 +251,7 @@
     void onPeerConfirmation(long askedNanos, long version, long ageNanos) {
         if (mConfirmedVersion.onPeerAnswer(askedNanos, version, ageNanos)) {
             GatewayEvent.CONFIGURATION_BEHIND.log(mConfirmedVersion.version(), version);
-            mConfigurationFollower.reread();
+            mFollowing.rereadConfiguration();
             return;
         }
         publishConfirmation();
@@ -296,16 +297,15 @@
     }
 
     /** Applies changes of the single configuration object. */
-    private final class ConfigurationListener
-            implements FeedFollower.Listener<RoutingConfiguration> {
+    private final class ConfigurationListener implements FeedListener<RoutingConfiguration> {
         @Override
         public void onSnapshot(
-                FeedPage<RoutingConfiguration> page, long sentNanos, long outageNanos) {
-            onChanges(page, sentNanos);
+                FeedPage<RoutingConfiguration> page, OptionalLong coveredNanos, long outageNanos) {
+            onChanges(page, coveredNanos);
         }
 
         @Override
-        public void onChanges(FeedPage<RoutingConfiguration> page, long coveredNanos) {
+        public void onChanges(FeedPage<RoutingConfiguration> page, OptionalLong coveredNanos) {
             boolean changed = false;
             boolean readable = true;
             for (FeedEntry<RoutingConfiguration> entry : page.entries()) {
@@ -318,8 +318,9 @@
                     changed = true;
                 }
             }
-            if (readable) {
-                mConfirmedVersion.onStoreAnswer(mConfiguration.version(), coveredNanos);
+            mConfirmedVersion.onVersion(mConfiguration.version());
+            if (readable && coveredNanos.isPresent()) {
+                mConfirmedVersion.onStoreAnswer(mConfiguration.version(), coveredNanos.getAsLong());
             }
             if (changed) {
                 publish();
@@ -330,9 +331,10 @@
     }
 
     /** Applies changes of the servers. */
-    private final class ServersListener implements FeedFollower.Listener<CatalogServer> {
+    private final class ServersListener implements FeedListener<CatalogServer> {
         @Override
-        public void onSnapshot(FeedPage<CatalogServer> page, long sentNanos, long outageNanos) {
+        public void onSnapshot(
+                FeedPage<CatalogServer> page, OptionalLong coveredNanos, long outageNanos) {
             boolean changed = mServers.onSnapshot(page, mClock.getAsLong(), outageNanos);
             boolean isFirst = !mCatalogRead;
             mCatalogRead = true;
@@ -343,7 +345,7 @@
         }
 
         @Override
-        public void onChanges(FeedPage<CatalogServer> page, long coveredNanos) {
+        public void onChanges(FeedPage<CatalogServer> page, OptionalLong coveredNanos) {
             if (mServers.onChanges(page, mClock.getAsLong())) {
                 onServersChanged();
             }
@@ -352,15 +354,21 @@
     }
 
     /** Applies changes of the instances. */
-    private final class InstancesListener implements FeedFollower.Listener<InstanceEntry> {
+    private final class InstancesListener implements FeedListener<InstanceEntry> {
         @Override
-        public void onSnapshot(FeedPage<InstanceEntry> page, long sentNanos, long outageNanos) {
+        public void onSnapshot(
+                FeedPage<InstanceEntry> page, OptionalLong coveredNanos, long outageNanos) {
             mInstances.clear();
+            boolean isFromStore = coveredNanos.isPresent();
+            if (mRegistered && !isFromStore) {
+                // Another instance may not have seen the entry yet.
+                mInstances.put(mSettings.instance(), ownEntry());
+            }
             apply(page);
         }
 
         @Override
-        public void onChanges(FeedPage<InstanceEntry> page, long coveredNanos) {
+        public void onChanges(FeedPage<InstanceEntry> page, OptionalLong coveredNanos) {
             if (!page.entries().isEmpty()) {
                 apply(page);
             }
@@ -378,4 +386,37 @@
             }
         }
     }
+
+    /** Applies changes of the evacuated failure domains. */
+    private final class EvacuationsListener implements FeedListener<String> {
+        @Override
+        public void onSnapshot(FeedPage<String> page, OptionalLong coveredNanos, long outageNanos) {
+            apply(page, new HashSet<>());
+        }
+
+        @Override
+        public void onChanges(FeedPage<String> page, OptionalLong coveredNanos) {
+            apply(page, new HashSet<>(mEvacuatedDomains));
+        }
+
+        private void apply(FeedPage<String> page, Set<String> domains) {
+            for (FeedEntry<String> entry : page.entries()) {
+                if (entry.value().isPresent()) {
+                    domains.add(entry.name());
+                } else {
+                    domains.remove(entry.name());
+                }
+            }
+            boolean changed = !domains.equals(mEvacuatedDomains);
+            if (changed) {
+                GatewayEvent.DOMAINS_EVACUATED.log(domains);
+            }
+            boolean isFirst = !mEvacuationsRead;
+            mEvacuationsRead = true;
+            mEvacuatedDomains = Set.copyOf(domains);
+            if (changed || isFirst) {
+                publish();
+            }
+        }
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -7,7 +7,10 @@
 import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.PeerListener;
+import org.plantainferry.gateway.peer.PeerProtocol;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
 import org.plantainferry.gateway.relay.RelayServer;
 import org.plantainferry.gateway.settings.GatewaySettings;
@@ -47,6 +50,7 @@
      *
      * @param loop the event loop of the control thread
      * @param clock a clock in nanoseconds that advances while the machine is suspended
+     * @param following passes the feeds of the store on to other instances
      * @param guard is told which primaries may be used
      */
     public FleetController(
@@ -55,22 +59,22 @@
             PlatformConnection platform,
             TrafficServer traffic,
             ControlPlane control,
+            StoreFollowing following,
             LongSupplier clock,
             PrimaryLeaseGuard guard) {
         mLoop = loop;
-        Supplier<FleetView> view = control::view;
-        mView = view;
+        mView = control::view;
         PeerChannel peers = new PeerChannel(loop, settings.localAddress(), settings.peerPort());
         mPeers = peers;
-        new RelayServer(loop, settings.localAddress(), id -> view.get().catalog().server(id))
-                .start(settings.peerPort());
+        startPeerListener(settings, following);
         ServerProbe probe = new ServerProbe(loop, platform.wireFormat(), settings.localAddress());
         mDemandExchange =
                 new DemandExchange(loop, settings.instance(), traffic, peers, new Random());
         mReachabilityPoll =
                 new ReachabilityPoll(loop, settings.instance(), peers, probe, new Random());
         mConfirmationExchange =
-                new ConfirmationExchange(loop, settings, control, peers, clock, new Random());
+                new ConfirmationExchange(
+                        loop, settings, control, following, peers, clock, new Random());
         mTokenExchange =
                 new TokenExchange(loop, settings.instance(), traffic, peers, clock, new Random());
         mPositionExchange =
@@ -91,7 +95,7 @@
                         platform.instances(),
                         mGuardsPrimaries,
                         clock,
-                        view);
+                        mView);
         mPrimaryMonitor =
                 new PrimaryMonitor(
                         loop,
@@ -108,6 +112,15 @@
                                         loop, context, service, cause, lastPrimary, endListener));
     }
 
+    private void startPeerListener(GatewaySettings settings, StoreFollowing following) {
+        RelayServer relay =
+                new RelayServer(
+                        mLoop, settings.localAddress(), id -> mView.get().catalog().server(id));
+        Map<String, PeerProtocol> protocols =
+                Map.of(PeerListener.RELAY, relay, PeerListener.FEEDS, following.protocol());
+        new PeerListener(mLoop, settings.localAddress(), protocols).start(settings.peerPort());
+    }
+
     /** Starts to receive messages and to exchange them periodically. */
     public void start() {
         mPeers.listen(this::onMessage);
@@ -122,6 +135,14 @@
         return mPrimaryMonitor;
     }
 
+    /**
+     * Chooses another source of the feeds, because an instance cannot be followed any more; for the
+     * control thread only.
+     */
+    public void onSourceLost(String source) {
+        mConfirmationExchange.onSourceLost(source);
+    }
+
     /** Reports the demand at this instance to the others; may be called from any thread. */
     public void onDemand(Map<String, Double> demandPerSecond) {
         mDemandExchange.onDemand(demandPerSecond);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
@@ -1,6 +1,7 @@
-package org.plantainferry.gateway.control;
+package org.plantainferry.gateway.feed;
 
 import io.netty.channel.EventLoop;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -13,7 +14,7 @@
 import org.plantainferry.network.http.Futures;
 
 /**
- * Follows the store objects of one kind: reads all of them, then watches for changes.
+ * Reads the store objects of one kind, and watches them for changes while it is told to.
  *
  * <p>After a failed watch it reads all objects again, because an interrupted watch may have missed
  * changes. Used by the control thread only.
@@ -24,43 +25,25 @@
     private static final long BURST_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long MIN_REREAD_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
-    /** Listens for the objects of the store and their changes. */
-    interface Listener<T> {
-        /**
-         * Called with all objects after a read.
-         *
-         * @param sentNanos when the request was sent; the page is at least as recent
-         * @param outageNanos how long the store did not answer before this read; 0 without an
-         *     outage
-         */
-        void onSnapshot(FeedPage<T> page, long sentNanos, long outageNanos);
-
-        /**
-         * Called with changes; the page is empty if the watch ended without a change.
-         *
-         * @param coveredNanos the time up to which the page contains all changes
-         */
-        void onChanges(FeedPage<T> page, long coveredNanos);
-    }
-
     private final EventLoop mLoop;
     private final String mFeedName;
     private final Feed<T> mFeed;
     private final long mWatchMillis;
     private final long mBatchMillis;
     private final LongSupplier mClock;
-    private final Listener<T> mListener;
+    private final FeedListener<T> mListener;
     private long mRetryDelayMillis = MIN_RETRY_MILLIS;
     private long mStoreLostSinceNanos;
     private final Random mRandom = new Random();
     private boolean mStoreLost;
     private boolean mConcurrentReadRunning;
+    private boolean mWatching;
     // Increases with each full read; answers that belong to an earlier generation are ignored.
     private long mReadGeneration;
     private long mLastRereadNanos;
 
     /**
-     * Creates a follower; {@link #start} begins to read.
+     * Creates a follower; {@link #read} begins to read.
      *
      * @param watchMillis the longest duration of one watch
      * @param batchMillis the delay before the next watch after changes that followed closely on the
@@ -73,7 +56,7 @@
             long watchMillis,
             long batchMillis,
             LongSupplier clock,
-            Listener<T> listener) {
+            FeedListener<T> listener) {
         mLoop = loop;
         mFeedName = feedName;
         mFeed = feed;
@@ -84,12 +67,41 @@
         mLastRereadNanos = clock.getAsLong() - MIN_REREAD_INTERVAL_NANOS;
     }
 
-    void start() {
+    /** Reads all objects, and repeats the read until the store answers. */
+    void read() {
         readAll();
     }
 
     /**
-     * Reads all objects again, because another instance has newer ones, and restarts the watch.
+     * Watches for all changes after a revision; does nothing while it watches already.
+     *
+     * @param revision the revision up to which all changes are known; 0 to read all objects first
+     */
+    void watchFrom(long revision) {
+        if (mWatching) {
+            return;
+        }
+        mWatching = true;
+        if (revision == 0) {
+            readAll();
+            return;
+        }
+        mReadGeneration++;
+        watch(revision);
+    }
+
+    /** Stops watching and repeating reads. */
+    void stop() {
+        mWatching = false;
+        mReadGeneration++;
+    }
+
+    boolean isWatching() {
+        return mWatching;
+    }
+
+    /**
+     * Reads all objects again, because another instance has newer ones, and restarts a watch.
      *
      * <p>Does nothing if the last such call was less than a second ago.
      */
@@ -101,8 +113,12 @@
         }
     }
 
-    /** Reads all objects without interrupting the watch; does nothing while such a read runs. */
-    void readConcurrently() {
+    /**
+     * Reads all objects without interrupting a watch; does nothing while such a read runs.
+     *
+     * @param successListener runs after the listener received the objects
+     */
+    void readConcurrently(Runnable successListener) {
         if (mConcurrentReadRunning) {
             return;
         }
@@ -111,17 +127,25 @@
         mFeed.readAll()
                 .whenComplete(
                         (page, failure) ->
-                                mLoop.execute(() -> onConcurrentRead(page, failure, sentNanos)));
+                                mLoop.execute(
+                                        () ->
+                                                onConcurrentRead(
+                                                        page,
+                                                        failure,
+                                                        sentNanos,
+                                                        successListener)));
     }
 
-    private void onConcurrentRead(FeedPage<T> page, Throwable failure, long sentNanos) {
+    private void onConcurrentRead(
+            FeedPage<T> page, Throwable failure, long sentNanos, Runnable successListener) {
         mConcurrentReadRunning = false;
         if (failure != null) {
             recordStoreLoss(failure, sentNanos);
             return;
         }
         onSuccess(mStoreLost ? mClock.getAsLong() - mStoreLostSinceNanos : 0);
-        mListener.onSnapshot(page, sentNanos, 0);
+        mListener.onSnapshot(page, OptionalLong.of(sentNanos), 0);
+        successListener.run();
     }
 
     private void readAll() {
@@ -148,8 +172,10 @@
         }
         long outageNanos = mStoreLost ? mClock.getAsLong() - mStoreLostSinceNanos : 0;
         onSuccess(outageNanos);
-        mListener.onSnapshot(page, sentNanos, outageNanos);
-        watch(page.revision());
+        mListener.onSnapshot(page, OptionalLong.of(sentNanos), outageNanos);
+        if (mWatching && generation == mReadGeneration) {
+            watch(page.revision());
+        }
     }
 
     private void watch(long revision) {
@@ -189,7 +215,11 @@
                         mClock.getAsLong(),
                         TimeUnit.MILLISECONDS.toNanos(watchMillis),
                         page.entries().isEmpty());
-        mListener.onChanges(page, coveredNanos);
+        mListener.onChanges(page, OptionalLong.of(coveredNanos));
+        if (generation != mReadGeneration) {
+            // The listener has stopped the watch.
+            return;
+        }
         boolean isBurst = mClock.getAsLong() - sentNanos < BURST_NANOS;
         if (!isBurst || mBatchMillis == 0) {
             watch(page.revision());
@@ -228,7 +258,15 @@
 
     private void onReadFailure(Throwable failure, long sentNanos) {
         recordStoreLoss(failure, sentNanos);
-        mLoop.schedule(this::readAll, mRetryDelayMillis, TimeUnit.MILLISECONDS);
+        long generation = mReadGeneration;
+        mLoop.schedule(
+                () -> {
+                    if (generation == mReadGeneration) {
+                        readAll();
+                    }
+                },
+                mRetryDelayMillis,
+                TimeUnit.MILLISECONDS);
         mRetryDelayMillis = Math.min(MAX_RETRY_MILLIS, mRetryDelayMillis * 2);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -24,6 +24,8 @@
     DRAIN_ENDED(6004, Logger.Level.INFO, "drain-ended sessions=%s transactions=%s"),
     /** The settings file was read again after a reload signal. */
     RELOADED(6005, Logger.Level.INFO, "settings-reread changed=%s"),
+    /** Experimental settings are in use. */
+    EXPERIMENT(6006, Logger.Level.WARN, "experimental-settings %s"),
     /** A configuration came into force. */
     CONFIGURATION_IN_FORCE(6101, Logger.Level.INFO, "configuration version=%s before=%s"),
     /** A configuration object is invalid and was rejected. */
@@ -38,6 +40,16 @@
     INSTANCES_CHANGED(6106, Logger.Level.INFO, "instances others=%s"),
     /** Another instance has a newer configuration. */
     CONFIGURATION_BEHIND(6107, Logger.Level.WARN, "configuration-behind version=%s other=%s"),
+    /** This instance follows the store directly, or through another instance. */
+    STORE_FOLLOWED(6108, Logger.Level.INFO, "store-followed through=%s"),
+    /** A connection over which feeds are passed on failed. */
+    FEED_LINK_FAILED(6109, Logger.Level.WARN, "feed-link-failed with=%s reason=\"%s\""),
+    /** A connection of another instance was refused, because its purpose is unknown. */
+    PEER_CONNECTION_REFUSED(6110, Logger.Level.WARN, "peer-connection-refused purpose=%s"),
+    /** The set of evacuated failure domains changed. */
+    DOMAINS_EVACUATED(6111, Logger.Level.WARN, "domains-evacuated domains=%s"),
+    /** An evacuation object is invalid and evacuates nothing. */
+    EVACUATION_REJECTED(6112, Logger.Level.ERROR, "evacuation-rejected name=%s reason=\"%s\""),
     /** A primary is suspected to have failed. */
     PRIMARY_SUSPECTED(6201, Logger.Level.WARN, "primary-suspected service=%s server=%s reason=%s"),
     /** A server that was used as the primary refused a statement because it is a replica. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -1,5 +1,6 @@
 package org.plantainferry.gateway.settings;
 
+import java.util.Optional;
 import org.plantainferry.api.Preconditions;
 
 /**
@@ -24,6 +25,9 @@
  * @param rateWindowMillis the window over which the rate of a workspace is measured
  * @param rateExcess the fraction by which a workspace may exceed its limit in the window
  * @param rateSlack the number of operations by which a workspace may exceed its limit in the window
+ * @param evacuationMillis the time within which no statement may be sent to the servers of an
+ *     evacuated failure domain any more; empty if failure domains are never evacuated
+ * @param experimental which of several ways of working is used
  * @since 0.2
  */
 public record GatewaySettings(
@@ -42,7 +46,9 @@
         long keyWithdrawalMillis,
         long rateWindowMillis,
         double rateExcess,
-        double rateSlack) {
+        double rateSlack,
+        Optional<Long> evacuationMillis,
+        ExperimentalSettings experimental) {
     private static final int MAX_PORT = 65_535;
 
     /** Validates all values. */
@@ -62,6 +68,10 @@
         Preconditions.condition(rateWindowMillis > 0, "rateWindowMillis must be positive");
         Preconditions.condition(rateExcess >= 0, "rateExcess must not be negative");
         Preconditions.condition(rateSlack >= 0, "rateSlack must not be negative");
+        Preconditions.condition(
+                evacuationMillis.isEmpty() || evacuationMillis.get() > 0,
+                "evacuationMillis must be positive");
+        Preconditions.notNull(experimental, "experimental");
     }
 
     private static void requireNotEmpty(String text, String name) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.Optional;
 import java.util.Set;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
@@ -74,11 +75,33 @@
                         wholeNumber("keyWithdrawalMillis"),
                         wholeNumber("rateWindowMillis"),
                         number("rateExcess"),
-                        number("rateSlack"));
+                        number("rateSlack"),
+                        optionalWholeNumber("evacuationMillis"),
+                        experimental());
         rejectUnknown();
         return settings;
     }
 
+    private Optional<Long> optionalWholeNumber(String name) {
+        mReadNames.add(name);
+        return mFile.has(name) ? Optional.of(wholeNumber(name)) : Optional.empty();
+    }
+
+    private ExperimentalSettings experimental() {
+        mReadNames.add("experimental");
+        JsonNode section = mFile.get("experimental");
+        if (section == null) {
+            return ExperimentalSettings.NONE;
+        }
+        if (!section.isObject()) {
+            throw invalid("experimental must be an object");
+        }
+        GatewaySettingsReader reader = new GatewaySettingsReader(section);
+        ExperimentalSettings settings = new ExperimentalSettings(reader.text("storeFollowing"));
+        reader.rejectUnknown();
+        return settings;
+    }
+
     private JsonNode requiredValue(String name) {
         mReadNames.add(name);
         JsonNode value = mFile.get(name);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
@@ -18,6 +18,9 @@
     /** Returns the registry of the instances of this system. */
     InstanceRegistry instances();
 
+    /** Returns the feed of evacuated failure domains; the name of an object is the domain. */
+    Feed<String> evacuations();
+
     /** Returns the store of claims to replace primaries. */
     ClaimStore claims();
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
@@ -12,15 +12,18 @@
  * @param catalog the known servers
  * @param confirmedNanos the time as of which the store last confirmed the configuration
  * @param otherInstanceDomains the failure domain of each other instance, by instance
+ * @param evacuatedDomains the failure domains to whose servers nothing more may be sent
  * @since 0.2
  */
 public record FleetView(
         RoutingConfiguration configuration,
         ServerCatalog catalog,
         long confirmedNanos,
-        Map<String, String> otherInstanceDomains) {
-    /** Creates a snapshot with a copy of the map. */
+        Map<String, String> otherInstanceDomains,
+        Set<String> evacuatedDomains) {
+    /** Creates a snapshot with copies of the collections. */
     public FleetView {
+        evacuatedDomains = Set.copyOf(evacuatedDomains);
         otherInstanceDomains = Map.copyOf(otherInstanceDomains);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
@@ -23,6 +23,7 @@
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.sessionstate.ServerConnectionState;
+import org.plantainferry.gateway.peer.PeerListener;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.gateway.statement.FailureCode;
 import org.plantainferry.gateway.statement.ServerMessage;
@@ -147,7 +148,7 @@
             return;
         }
         if (relayed) {
-            write(mServer.id());
+            write(PeerListener.RELAY + " " + mServer.id());
         }
         write(mFormat.openSession(mServer.service(), mWorkspace, mServer.id()));
     }
--- a/plantainferry-network/src/main/java/org/plantainferry/network/peer/BoundedFrameDecoder.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/peer/BoundedFrameDecoder.java
@@ -12,15 +12,18 @@
  *
  * <p>Netty's decoder for this format has no frame size limit, so a peer could make it buffer up to
  * 2 GB.
+ *
+ * @since 0.1
  */
-final class BoundedFrameDecoder extends ByteToMessageDecoder {
+public final class BoundedFrameDecoder extends ByteToMessageDecoder {
     private static final int LENGTH_MAX_BYTES = 5;
     private static final int PAYLOAD_BITS = 7;
     private static final int PAYLOAD_MASK = 0x7f;
 
     private final int mMaxFrameBytes;
 
-    BoundedFrameDecoder(int maxFrameBytes) {
+    /** Creates a decoder; a longer frame is reported as an exception of the channel. */
+    public BoundedFrameDecoder(int maxFrameBytes) {
         mMaxFrameBytes = maxFrameBytes;
     }
 
