--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedLink.java
@@ -100,7 +100,10 @@
             return;
         }
         String firstLine = PeerListener.firstLine(PeerListener.FEEDS, "");
-        mChannel.write(ByteBufUtil.writeAscii(mChannel.alloc(), firstLine));
+        // Written below the encoders, because the first line is not a message.
+        mChannel.pipeline()
+                .firstContext()
+                .write(ByteBufUtil.writeAscii(mChannel.alloc(), firstLine));
         mChannel.writeAndFlush(FeedMessage.newBuilder().setSubscription(subscription).build());
     }
 
