Send nothing to the servers of an evacuated failure domain

Operators evacuate a failure domain with an object in the store (kind evacuations, bound EvacMs); the code knew nothing of it. Replicas there get nothing more at once (EvacuatedDomains); a primary serves on for two fifths of the bound, in which it is replaced by a server elsewhere (cause EVACUATED), and what only it can run is refused at once afterwards, with a time to come back. An open transaction there ends without a commit. Where commits wait for replicas, those that cannot be promoted count too (CandidateSelector), unless the former primary has stepped down at a position that the candidate has.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/CandidateSelectorTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/CandidateSelectorTest.java
@@ -19,7 +19,10 @@
     public void selectsReplicaWithHighestReceivedPosition() {
         Optional<ReplicaState> chosen =
                 CandidateSelector.select(
-                        List.of(state("r1", 5, false), state("r2", 9, false)), 2, 0);
+                        List.of(state("r1", 5, false), state("r2", 9, false)),
+                        2,
+                        0,
+                        Optional.empty());
         assertEquals(chosen.map(state -> state.server().id()), Optional.of("r2"));
     }
 
@@ -27,14 +30,34 @@
     public void doesNotSelectDrainingReplica() {
         Optional<ReplicaState> chosen =
                 CandidateSelector.select(
-                        List.of(state("r1", 5, false), state("r2", 9, true)), 2, 0);
+                        List.of(state("r1", 5, false), state("r2", 9, true)),
+                        2,
+                        0,
+                        Optional.empty());
         assertEquals(chosen.map(state -> state.server().id()), Optional.of("r1"));
     }
 
     @Test
     public void requiresStatesOfAllReplicasWithOneSynchronousReplica() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(List.of(state("r1", 5, false)), 2, 1);
+                CandidateSelector.select(List.of(state("r1", 5, false)), 2, 1, Optional.empty());
+        assertEquals(chosen, Optional.empty());
+    }
+
+    /** Guards against a group that stays without a primary while one of its replicas is leaving. */
+    @Test
+    public void acceptsOneReplicaThatHasReceivedAllCommitsOfAPrimaryThatSteppedDown() {
+        Optional<ReplicaState> chosen =
+                CandidateSelector.select(
+                        List.of(state("r1", 5, false)), 2, 1, Optional.of(new LogPosition(3, 5)));
+        assertEquals(chosen.map(state -> state.server().id()), Optional.of("r1"));
+    }
+
+    @Test
+    public void refusesAReplicaThatLacksACommitOfAPrimaryThatSteppedDown() {
+        Optional<ReplicaState> chosen =
+                CandidateSelector.select(
+                        List.of(state("r1", 5, false)), 2, 1, Optional.of(new LogPosition(3, 6)));
         assertEquals(chosen, Optional.empty());
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
@@ -29,11 +29,11 @@
 /**
  * Monitors the primary of each group and starts its replacement.
  *
- * <p>A primary is replaced when it is leaving, when no server claims the role, when the server that
- * claims it cannot be verified, or when neither this nor another instance reaches it. Each instance
- * delays its attempt by its rank, which differs from group to group, so that the instances do not
- * start the same replacement at the same time. Used by the control thread only, except {@link
- * #onSuspected}.
+ * <p>A primary is replaced when it is leaving, when its failure domain is evacuated, when no server
+ * claims the role, when the server that claims it cannot be verified, or when neither this nor
+ * another instance reaches it. Each instance delays its attempt by its rank, which differs from
+ * group to group, so that the instances do not start the same replacement at the same time. Used by
+ * the control thread only, except {@link #onSuspected}.
  */
 final class PrimaryMonitor implements SuspectedPrimaryListener {
     private static final long MISSING_DELAY_MILLIS = 250;
@@ -63,6 +63,7 @@
     private final PrimaryVerifier mVerifier;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private Set<String> mOtherInstances = Set.of();
+    private Set<String> mEvacuatedDomains = Set.of();
 
     /** Creates replacements of primaries. */
     interface ReplacementFactory {
@@ -104,6 +105,7 @@
     void onView(FleetView view) {
         mCatalog = view.catalog();
         mOtherInstances = view.otherInstances();
+        mEvacuatedDomains = view.evacuatedDomains();
         mVerifier.onCatalog(mCatalog);
         for (String service : mCatalog.services()) {
             mCatalog.primary(service).ifPresent(primary -> mLastPrimaries.put(service, primary));
@@ -155,7 +157,21 @@
         if (mVerifier.isLongUnverified(service)) {
             return Optional.of(ReplacementCause.NOT_BELIEVED);
         }
-        return primary.get().draining() ? Optional.of(ReplacementCause.LEAVING) : Optional.empty();
+        if (primary.get().draining()) {
+            return Optional.of(ReplacementCause.LEAVING);
+        }
+        return isEvacuated(primary.get()) && hasReplacementElsewhere(service)
+                ? Optional.of(ReplacementCause.EVACUATED)
+                : Optional.empty();
+    }
+
+    private boolean isEvacuated(CatalogServer server) {
+        return mEvacuatedDomains.contains(server.failureDomain());
+    }
+
+    private boolean hasReplacementElsewhere(String service) {
+        return mCatalog.servers(service).stream()
+                .anyMatch(server -> !server.draining() && !isEvacuated(server));
     }
 
     /** Schedules a replacement, which starts if a cause for it still exists after the delay. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -114,7 +114,7 @@
                 .get()
                 .catalog()
                 .primary(mService)
-                .filter(primary -> !primary.draining())
+                .filter(this::mayLead)
                 .filter(primary -> !primary.id().equals(mOldPrimaryId))
                 .isPresent();
     }
@@ -129,7 +129,7 @@
         mUnansweredPromotion = mClaimManager.currentClaim().unansweredPromotion();
         if (mContext.guardsPrimaries()) {
             readInstances();
-        } else if (mCause == ReplacementCause.LEAVING) {
+        } else if (mCause == ReplacementCause.LEAVING || mCause == ReplacementCause.EVACUATED) {
             stepDown();
         } else {
             queryReplicasOnce();
@@ -231,10 +231,23 @@
     private List<CatalogServer> eligibleReplicas() {
         return mContext.view().get().catalog().servers(mService).stream()
                 .filter(server -> !server.id().equals(mOldPrimaryId))
-                .filter(server -> !server.draining())
+                .filter(this::mayLead)
                 .toList();
     }
 
+    private boolean mayLead(CatalogServer server) {
+        return !server.draining()
+                && !mContext.view().get().evacuatedDomains().contains(server.failureDomain());
+    }
+
+    /** Returns the number of servers whose logs may contain an acknowledged commit. */
+    private int replicaCount() {
+        return (int)
+                mContext.view().get().catalog().servers(mService).stream()
+                        .filter(server -> !server.id().equals(mOldPrimaryId))
+                        .count();
+    }
+
     private void queryReplicas() {
         List<CatalogServer> replicas = eligibleReplicas();
         if (replicas.isEmpty()) {
@@ -242,14 +255,10 @@
             return;
         }
         ReplicaStateQuery.run(
-                mLoop,
-                mContext.probe(),
-                replicas,
-                STATUS_TIMEOUT_MILLIS,
-                states -> onReplicaStates(replicas, states));
+                mLoop, mContext.probe(), replicas, STATUS_TIMEOUT_MILLIS, this::onReplicaStates);
     }
 
-    private void onReplicaStates(List<CatalogServer> replicas, List<ReplicaState> states) {
+    private void onReplicaStates(List<ReplicaState> states) {
         if (isReplaced()) {
             close("replaced by another instance");
             return;
@@ -265,7 +274,8 @@
         Optional<ReplicaState> candidate =
                 selectCandidate(
                         states,
-                        CandidateSelector.select(states, replicas.size(), synchronousReplicas));
+                        CandidateSelector.select(
+                                states, replicaCount(), synchronousReplicas, mFinalPosition));
         if (candidate.isEmpty()) {
             close("no replica that may be promoted answered");
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementCause.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementCause.java
@@ -6,6 +6,8 @@
     MISSING,
     /** The primary is draining and will shut down. */
     LEAVING,
+    /** The failure domain of the primary is evacuated. */
+    EVACUATED,
     /** No instance reaches the primary. */
     UNREACHABLE,
     /** The server that claims the role could not be verified and may be a former primary. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
@@ -24,6 +24,8 @@
     private static final long RETRY_AFTER_NO_PRIMARY_MILLIS = 400;
     private static final long RETRY_AFTER_BUSY_MILLIS = 150;
     private static final long RETRY_AFTER_ISOLATED_MILLIS = 600;
+    // The time that a replacement of the primary takes, from its claim to the first statement.
+    private static final long RETRY_AFTER_EVACUATED_MILLIS = 1_000;
     private static final long ISOLATION_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     private static final long NO_CANDIDATE_RETRY_MILLIS = 15;
     // With a lower maximum age, a position from another instance would be too old on arrival.
@@ -73,6 +75,10 @@
             refuse(RETRY_AFTER_NO_PRIMARY_MILLIS);
             return;
         }
+        if (mGroup.isPrimaryEvacuated()) {
+            refuseEvacuated();
+            return;
+        }
         Optional<ServerConnectionPool> primary = mGroup.usablePrimary(mBroker.now());
         if (isIsolated()) {
             refuseIsolated();
@@ -97,6 +103,12 @@
                 && waited >= ISOLATION_GRACE_NANOS;
     }
 
+    /** Refuses without waiting for the deadline, because no other server can stand in. */
+    private void refuseEvacuated() {
+        mLastReason = "the failure domain of the server is evacuated";
+        refuse(RETRY_AFTER_EVACUATED_MILLIS);
+    }
+
     /**
      * Refuses without waiting for the deadline, because another instance can serve the caller
      * sooner.
@@ -111,6 +123,10 @@
             refuse(RETRY_AFTER_BUSY_MILLIS);
             return;
         }
+        if (mGroup.isWhollyEvacuated()) {
+            refuseEvacuated();
+            return;
+        }
         Optional<LogPosition> covering =
                 mGroup.samples().positionCovering(mRequest.arrivedNanos() - maximumAgeNanos());
         if (covering.isEmpty() && isIsolated()) {
@@ -311,6 +327,11 @@
      * when the rollback is not confirmed.
      */
     static void rollBackAndRelease(PreparedConnection prepared) {
+        if (!prepared.pool().acceptsStatements()) {
+            // The server rolls back when the connection ends.
+            prepared.connection().close("the failure domain of the server is evacuated");
+            return;
+        }
         prepared.connection()
                 .send(
                         Optional.empty(),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
@@ -100,6 +100,10 @@
             Optional<LogPosition> required,
             Statement statement,
             Consumer<ServerReply> callback) {
+        if (!prepared.pool().acceptsStatements()) {
+            callback.accept(ServerReply.notSent("the failure domain of the server is evacuated"));
+            return;
+        }
         if (!purpose.isAtPrimary()) {
             prepared.connection().send(requestId, required, statement, callback);
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -34,6 +34,7 @@
 final class ServerConnectionPool {
     private static final long REFUSED_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final int MAX_CONCURRENT_OPENS = 2;
+    private static final String EVACUATED = "the failure domain of the server is evacuated";
     // Shorter idle times get a timer for each connection; the periodic cleanup handles longer ones.
     private static final long SHORT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -82,6 +83,7 @@
     private Optional<String> mRelayAddress = Optional.empty();
     private long mRelayEndNanos = Long.MIN_VALUE / 2;
     private Optional<Long> mLeavingSinceNanos = Optional.empty();
+    private Optional<Long> mClosedFromNanos = Optional.empty();
     private boolean mClosed;
 
     ServerConnectionPool(
@@ -132,6 +134,45 @@
         updateLeavingSince();
     }
 
+    /**
+     * Sets the time from which on nothing may be sent to the server, because its failure domain is
+     * evacuated; empty if it is not.
+     */
+    void setClosedFrom(Optional<Long> closedFromNanos) {
+        if (closedFromNanos.equals(mClosedFromNanos)) {
+            return;
+        }
+        mClosedFromNanos = closedFromNanos;
+        closedFromNanos.ifPresent(
+                nanos ->
+                        mLoop.schedule(
+                                this::endEvacuatedWork,
+                                Math.max(0, nanos - mClock.getAsLong()),
+                                TimeUnit.NANOSECONDS));
+    }
+
+    private void endEvacuatedWork() {
+        if (acceptsStatements()) {
+            return;
+        }
+        rejectAll(EVACUATED);
+        for (ServerConnection connection : List.copyOf(mIdleConnections)) {
+            connection.close(EVACUATED);
+        }
+    }
+
+    /** Returns whether the failure domain of the server is evacuated. */
+    boolean isEvacuated() {
+        return mClosedFromNanos.isPresent();
+    }
+
+    /**
+     * Returns whether statements may be sent to the server, as far as evacuations are concerned.
+     */
+    boolean acceptsStatements() {
+        return mClosedFromNanos.isEmpty() || mClock.getAsLong() - mClosedFromNanos.get() < 0;
+    }
+
     /**
      * Sets the connection limit and the idle time.
      *
@@ -191,8 +232,9 @@
             Optional<PreparedStatementDefinition> requiredDefinition,
             long timeoutMillis,
             Consumer<PooledConnectionResult> callback) {
-        if (mClosed) {
-            callback.accept(PooledConnectionResult.refused("the server is gone"));
+        if (mClosed || !acceptsStatements()) {
+            callback.accept(
+                    PooledConnectionResult.refused(mClosed ? "the server is gone" : EVACUATED));
             return;
         }
         Optional<ServerConnection> idle = takeIdle(workspace, sessionState, requiredDefinition);
@@ -376,7 +418,9 @@
      * Takes back a connection without open work on the server. An unusable connection is closed.
      */
     void release(ServerConnection connection) {
-        if (!connection.isOpen() || connection.hasPendingStatements() || mClosed) {
+        boolean isUsable =
+                connection.isOpen() && !connection.hasPendingStatements() && acceptsStatements();
+        if (!isUsable || mClosed) {
             connection.close("the connection is not usable any more");
             return;
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -48,7 +48,10 @@
     }
 
     private Collection<ReadCandidate> candidates(String workspace) {
-        return mPools.values().stream().map(pool -> candidate(pool, workspace)).toList();
+        return mPools.values().stream()
+                .filter(pool -> !pool.isEvacuated())
+                .map(pool -> candidate(pool, workspace))
+                .toList();
     }
 
     private ReadCandidate candidate(ServerConnectionPool pool, String workspace) {
@@ -85,10 +88,24 @@
     Optional<ServerConnectionPool> usablePrimary(long nowNanos) {
         return Optional.ofNullable(mPools.get(mPrimary))
                 .filter(pool -> mMayUseAsPrimary.test(mPrimary))
+                .filter(ServerConnectionPool::acceptsStatements)
                 .filter(pool -> !pool.health().isDemoted(nowNanos))
                 .filter(pool -> !pool.wasLeavingAt(nowNanos - mLeavingPrimaryNanos));
     }
 
+    /** Returns whether nothing may be sent to the primary, because its domain is evacuated. */
+    boolean isPrimaryEvacuated() {
+        return Optional.ofNullable(mPools.get(mPrimary))
+                .filter(pool -> !pool.acceptsStatements())
+                .isPresent();
+    }
+
+    /** Returns whether the failure domains of all servers are evacuated. */
+    boolean isWhollyEvacuated() {
+        return !mPools.isEmpty()
+                && mPools.values().stream().allMatch(ServerConnectionPool::isEvacuated);
+    }
+
     /**
      * Returns whether the instances outnumber the connections of the primary, so that they share
      * its sampled positions.
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
+import org.plantainferry.engine.evacuation.EvacuatedDomains;
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
@@ -24,6 +25,7 @@
  */
 final class ServerGroupRegistry {
     private static final int DEFAULT_MAX_CONNECTIONS = 30;
+    private static final long NO_EVACUATION_MILLIS = Long.MAX_VALUE / 1_000_000;
     // Upper bound of the time between the choice of a connection and the arrival of its statement.
     private static final long LEAVING_MARGIN_MILLIS = 1_500;
 
@@ -37,6 +39,7 @@
     private final TrafficMetrics mMetrics;
     private final PrimaryLeaseGuard mLeaseGuard;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
+    private final EvacuatedDomains mEvacuatedDomains;
 
     ServerGroupRegistry(
             EventLoop loop,
@@ -53,6 +56,8 @@
         mLeavingPrimaryNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
+        mEvacuatedDomains =
+                new EvacuatedDomains(settings.evacuationMillis().orElse(NO_EVACUATION_MILLIS));
         mClock = clock;
         mMetrics = metrics;
         mLeaseGuard = leaseGuard;
@@ -69,6 +74,7 @@
 
     /** Applies a new view: creates pools for added servers and closes those of removed servers. */
     void applyView(FleetView view) {
+        mEvacuatedDomains.onDomains(view.evacuatedDomains(), mClock.getAsLong());
         Map<String, String> domains = new HashMap<>(view.otherInstanceDomains());
         domains.put(mInstance, mFailureDomain);
         ConnectionPlan plan = new ConnectionPlan(mInstance, domains);
@@ -96,17 +102,32 @@
                 settings == null ? DEFAULT_MAX_CONNECTIONS : settings.maximumConnections();
         List<CatalogServer> servers = view.catalog().servers(service);
         Optional<String> primary = view.catalog().primary(service).map(CatalogServer::id);
-        GroupConnections planned = plan.plan(servers, primary, connections);
+        List<CatalogServer> usableServers =
+                servers.stream()
+                        .filter(
+                                server ->
+                                        isPrimary(server, primary)
+                                                || !mEvacuatedDomains.isEvacuated(
+                                                        server.failureDomain()))
+                        .toList();
+        GroupConnections planned = plan.plan(usableServers, primary, connections);
         for (CatalogServer server : servers) {
             present.add(server.id());
-            poolOf(server)
-                    .setPlan(
-                            planned.limits().get(server.id()),
-                            planned.idleNanos().get(server.id()));
+            ServerConnectionPool pool = poolOf(server);
+            pool.setClosedFrom(
+                    mEvacuatedDomains.closedFromNanos(
+                            server.failureDomain(), isPrimary(server, primary)));
+            pool.setPlan(
+                    planned.limits().getOrDefault(server.id(), 1),
+                    planned.idleNanos().getOrDefault(server.id(), 0L));
         }
         group(service).setPreferredReplica(planned.preferredReplica());
     }
 
+    private static boolean isPrimary(CatalogServer server, Optional<String> primary) {
+        return primary.equals(Optional.of(server.id()));
+    }
+
     private ServerConnectionPool poolOf(CatalogServer server) {
         Map<String, ServerConnectionPool> pools = group(server.service()).pools();
         ServerConnectionPool known = pools.get(server.id());
