Pass the configuration on with digests of keys, and ask a busy source again

A source that needed over 250 ms for an answer was given up at once, so that instances beside an overloaded one went back to the store. Instances that start together all watched the store, as none had seen another.

A followed source is asked three times before it is excluded. The choice waits 0.6 s for the entries of others, and a newly registered instance lists them once more after 0.5 s.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/RoutingConfiguration.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/RoutingConfiguration.java
@@ -10,7 +10,7 @@
  * @param version the version, which is higher than those of all earlier configurations
  * @param routes the routes by database name
  * @param groups the groups by service name
- * @param workspaceByKey the workspace of each key
+ * @param keys the keys of callers
  * @param limits the limits by workspace
  * @param transactionIdleMillis the maximum time that a transaction waits for its next statement
  * @since 0.2
@@ -19,7 +19,7 @@
         long version,
         Map<String, DatabaseRoute> routes,
         Map<String, GroupSettings> groups,
-        Map<String, String> workspaceByKey,
+        WorkspaceKeys keys,
         Map<String, WorkspaceLimit> limits,
         long transactionIdleMillis) {
     private static final long DEFAULT_TRANSACTION_IDLE_MILLIS = 3_000;
@@ -27,15 +27,20 @@
     /** The configuration in effect until the first one is read. */
     public static final RoutingConfiguration EMPTY =
             new RoutingConfiguration(
-                    0, Map.of(), Map.of(), Map.of(), Map.of(), DEFAULT_TRANSACTION_IDLE_MILLIS);
+                    0,
+                    Map.of(),
+                    Map.of(),
+                    new PlainKeys(Map.of()),
+                    Map.of(),
+                    DEFAULT_TRANSACTION_IDLE_MILLIS);
 
     /** Copies the maps. */
     public RoutingConfiguration {
         Preconditions.condition(
                 transactionIdleMillis > 0, "transactionIdleMillis must be positive");
+        Preconditions.notNull(keys, "keys");
         routes = Map.copyOf(routes);
         groups = Map.copyOf(groups);
-        workspaceByKey = Map.copyOf(workspaceByKey);
         limits = Map.copyOf(limits);
     }
 
@@ -46,6 +51,6 @@
 
     /** Returns the workspace of a key; empty for an unknown key. */
     public Optional<String> workspaceOf(String key) {
-        return Optional.ofNullable(workspaceByKey.get(key));
+        return keys.workspaceOf(key);
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -36,8 +36,11 @@
     private static final double FRESH_FRACTION = 1 / 3.0;
     // Leaves the remainder of the bound for further requests, also if a watch gets no answer.
     private static final double STALE_FRACTION = 0.6;
-    // Without the list of instances, an instance would take itself for the only one.
-    private static final long INSTANCES_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
+    // Instances that start together see each other's entries after this time.
+    private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    // An instance that knows no other one by then follows the store.
+    private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+    private static final int MAX_UNANSWERED_QUESTIONS = 3;
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -51,15 +54,16 @@
     private final long mFreshNanos;
     private final long mStaleNanos;
     private Map<String, InstanceEntry> mOtherInstances = Map.of();
-    private boolean mInstancesKnown;
     private long mStartedNanos;
-    private Optional<String> mAwaitedSource = Optional.empty();
+    private final Map<Long, Question> mPendingQuestions = new HashMap<>();
     private Optional<ScheduledFuture<?>> mNextCheck = Optional.empty();
     private long mLastQuestionNumber;
-    private long mAskedNanos;
     private int mStoreReads;
     private long mNextStoreReadNanos;
 
+    /** Holds a question to another instance that was not answered yet. */
+    private record Question(String source, long askedNanos) {}
+
     ConfirmationExchange(
             EventLoop loop,
             GatewaySettings settings,
@@ -109,10 +113,6 @@
         Map<String, String> domains = new HashMap<>();
         otherInstances.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
         mSources.onInstances(domains);
-        if (!mInstancesKnown) {
-            mInstancesKnown = true;
-            check();
-        }
     }
 
     /** Chooses another source because the connection to the followed instance has ended. */
@@ -124,14 +124,13 @@
     private void check() {
         scheduleCheck();
         long now = mClock.getAsLong();
-        mAwaitedSource.ifPresent(silent -> mSources.exclude(silent, now));
-        mAwaitedSource = Optional.empty();
         long ageNanos = ageNanos();
+        excludeSilentSource(ageNanos, now);
         boolean isFresh = ageNanos < mFreshNanos;
         if (isFresh && mFollowing.isFollowing() && !mLag.isBehind()) {
             return;
         }
-        if (!mInstancesKnown && now - mStartedNanos < INSTANCES_TIMEOUT_NANOS) {
+        if (!isSettled(now)) {
             return;
         }
         Optional<String> source = mSources.choose(now);
@@ -141,6 +140,34 @@
         source.ifPresent(asked -> ask(asked, now));
     }
 
+    /** Returns whether enough instances can be known to choose among them. */
+    private boolean isSettled(long nowNanos) {
+        long sinceStartNanos = nowNanos - mStartedNanos;
+        return sinceStartNanos >= ALONE_NANOS
+                || (sinceStartNanos >= SETTLING_NANOS && !mOtherInstances.isEmpty());
+    }
+
+    /**
+     * Excludes a source that has not answered.
+     *
+     * <p>One that is followed may be busy, so it is asked again while the confirmation allows.
+     */
+    private void excludeSilentSource(long ageNanos, long nowNanos) {
+        if (mPendingQuestions.isEmpty()) {
+            return;
+        }
+        boolean isTolerated =
+                mFollowing.isFollowing()
+                        && ageNanos < mStaleNanos
+                        && mPendingQuestions.size() < MAX_UNANSWERED_QUESTIONS;
+        if (!isTolerated) {
+            mPendingQuestions
+                    .values()
+                    .forEach(question -> mSources.exclude(question.source(), nowNanos));
+            mPendingQuestions.clear();
+        }
+    }
+
     /**
      * Reads the store, with exponential backoff until it confirms the configuration.
      *
@@ -171,8 +198,7 @@
 
     private void ask(String source, long nowNanos) {
         mLastQuestionNumber++;
-        mAskedNanos = nowNanos;
-        mAwaitedSource = Optional.of(source);
+        mPendingQuestions.put(mLastQuestionNumber, new Question(source, nowNanos));
         mPeers.send(
                 InstanceMessage.newBuilder()
                         .setInstance(mInstance)
@@ -200,20 +226,21 @@
     }
 
     void onAnswer(ConfirmationAnswer answer) {
-        // The time of sending is known for the newest question only.
-        if (answer.getNumber() != mLastQuestionNumber || mAwaitedSource.isEmpty()) {
+        Question question = mPendingQuestions.get(answer.getNumber());
+        if (question == null) {
             return;
         }
-        String source = mAwaitedSource.get();
-        mAwaitedSource = Optional.empty();
+        mPendingQuestions.clear();
+        String source = question.source();
         long now = mClock.getAsLong();
         long ageNanos = AgeCodec.decodeNanos(answer.getAgeMillis());
         if (ageNanos >= mStaleNanos) {
             mSources.exclude(source, now);
         } else if (mFollowsInstances) {
-            follow(mOtherInstances.get(source), answer, now);
+            Optional.ofNullable(mOtherInstances.get(source))
+                    .ifPresent(entry -> follow(entry, answer, now));
         }
-        mControl.onPeerConfirmation(mAskedNanos, answer.getVersion(), ageNanos);
+        mControl.onPeerConfirmation(question.askedNanos(), answer.getVersion(), ageNanos);
     }
 
     private void follow(InstanceEntry source, ConfirmationAnswer answer, long nowNanos) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -35,6 +35,7 @@
 public final class ControlPlane {
     private static final long EXPIRY_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
+    private static final long REGISTRATION_SETTLING_MILLIS = 500;
     // Limits are divided among the listed instances. Without the list, a new process would use the
     // full limits, so it waits this long for the list before it becomes ready.
     private static final long INSTANCES_TIMEOUT_MILLIS = 800;
@@ -165,7 +166,12 @@
             mLoop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        mRegistered = true;
+        if (!mRegistered) {
+            mRegistered = true;
+            // Instances that start together have not seen each other's entries.
+            mLoop.schedule(
+                    mFollowing::readInstances, REGISTRATION_SETTLING_MILLIS, TimeUnit.MILLISECONDS);
+        }
         mInstances.put(mSettings.instance(), ownEntry());
         register();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedChannels.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedChannels.java
@@ -10,8 +10,8 @@
 
 /** Builds the part of a channel pipeline that both ends of a feed connection use. */
 final class FeedChannels {
-    /** The maximum size of a message; large enough for the entries of 4,000 servers. */
-    private static final int MAX_MESSAGE_BYTES = 1024 * 1024;
+    /** The maximum size of a message; large enough for the entries of 10,000 servers. */
+    private static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
 
     private FeedChannels() {}
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -45,6 +45,7 @@
     private final Map<PassedFeed, FeedFollower<?>> mFollowers = new HashMap<>();
     private final FeedPublisher mPublisher = new FeedPublisher(mFeeds);
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
+    private FeedFollower<InstanceEntry> mInstancesFollower;
     private Optional<FeedLink> mLink = Optional.empty();
     private Optional<FeedLink> mNextLink = Optional.empty();
 
@@ -70,12 +71,11 @@
     /** Adds the feed of the configuration. */
     public void addConfiguration(
             Feed<RoutingConfiguration> feed, FeedListener<RoutingConfiguration> listener) {
-        ConfigurationNotices notices =
-                new ConfigurationNotices(
-                        listener, mPublisher::publish, () -> readConfiguration(() -> {}));
+        SharedFeed<RoutingConfiguration> shared =
+                shared(FeedName.FEED_NAME_CONFIGURATION, new ConfigurationCodec(), listener);
         mConfigurationFollower =
-                follower("configuration", feed, CONFIGURATION_WATCH_MILLIS, 0, notices);
-        add(notices, mConfigurationFollower);
+                follower("configuration", feed, CONFIGURATION_WATCH_MILLIS, 0, shared);
+        add(shared, mConfigurationFollower);
     }
 
     /** Adds the feed of the servers. */
@@ -89,10 +89,9 @@
     public void addInstances(Feed<InstanceEntry> feed, FeedListener<InstanceEntry> listener) {
         SharedFeed<InstanceEntry> shared =
                 shared(FeedName.FEED_NAME_INSTANCES, new InstanceCodec(), listener);
-        add(
-                shared,
-                follower(
-                        "instances", feed, INSTANCES_WATCH_MILLIS, INSTANCES_BATCH_MILLIS, shared));
+        mInstancesFollower =
+                follower("instances", feed, INSTANCES_WATCH_MILLIS, INSTANCES_BATCH_MILLIS, shared);
+        add(shared, mInstancesFollower);
     }
 
     /** Adds the feed of the evacuated failure domains. */
@@ -139,9 +138,19 @@
         mConfigurationFollower.readConcurrently(successListener);
     }
 
-    /** Reads the configuration again, because another instance has a newer one. */
+    /**
+     * Reads the configuration again, because another instance has a newer one; does nothing while
+     * another instance is followed, which passes it on.
+     */
     public void rereadConfiguration() {
-        mConfigurationFollower.reread();
+        if (mLink.isEmpty()) {
+            mConfigurationFollower.reread();
+        }
+    }
+
+    /** Reads the instances once more from the store. */
+    public void readInstances() {
+        mInstancesFollower.readConcurrently(() -> {});
     }
 
     /**
@@ -211,15 +220,9 @@
         return mFeeds.stream().map(feed -> revision(feed, feed.lastChangeRevision())).toList();
     }
 
-    /**
-     * Returns whether this instance lacks a change that another instance knows.
-     *
-     * <p>The configuration does not count: its content does not come from other instances.
-     */
+    /** Returns whether this instance lacks a change that another instance knows. */
     public boolean isBehind(List<FeedRevision> lastChanges) {
-        return lastChanges.stream()
-                .filter(change -> change.getFeed() != FeedName.FEED_NAME_CONFIGURATION)
-                .anyMatch(this::isMissing);
+        return lastChanges.stream().anyMatch(this::isMissing);
     }
 
     private boolean isMissing(FeedRevision change) {
