Accept tokens of owners that answer late instead of refusing inside the limit

Cause: a token question waited 25 ms for each of at most three owners, and silence counted as a refusal.

Change: a late answer still counts (TokenRound). While answers are missing, the round stays open for 150 ms after the last owner was asked; when all owners have refused, the refusal is given at once.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/TokenExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/TokenExchange.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.quota.TokenRound;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
 import org.plantainferry.gateway.peer.generated.TokenAnswer;
@@ -30,6 +31,8 @@
 final class TokenExchange implements TokenBorrower {
     private static final int MAX_LENDERS = 3;
     private static final long ANSWER_TIMEOUT_MILLIS = 25;
+    // An instance that has just started may take this long to answer.
+    private static final long LATE_ANSWER_MILLIS = 150;
     private static final long UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final EventLoop mLoop;
@@ -46,31 +49,23 @@
     /** Represents a request to borrow tokens. */
     private static final class BorrowRequest {
         private final String mWorkspace;
-        private final List<InstanceEntry> mRemainingLenders;
+        private final Map<String, InstanceEntry> mLenders = new HashMap<>();
+        private final TokenRound mRound;
         private final int mWanted;
         private final Consumer<TokenGrant> mCallback;
-        private TokenGrant mBestRefusal = TokenGrant.NONE;
+        private final List<Long> mQuestionNumbers = new ArrayList<>();
 
         BorrowRequest(
                 String workspace,
-                List<InstanceEntry> remainingLenders,
+                List<InstanceEntry> lenders,
                 int wanted,
                 Consumer<TokenGrant> callback) {
             mWorkspace = workspace;
-            mRemainingLenders = remainingLenders;
+            lenders.forEach(lender -> mLenders.put(lender.name(), lender));
+            mRound = new TokenRound(lenders.stream().map(InstanceEntry::name).toList());
             mWanted = wanted;
             mCallback = callback;
         }
-
-        /** Records a refusal; the one with the shortest known retry delay is kept. */
-        void onRefused(TokenGrant refusal) {
-            boolean isSooner =
-                    mBestRefusal.retryAfterMillis() == 0
-                            || refusal.retryAfterMillis() < mBestRefusal.retryAfterMillis();
-            if (refusal.retryAfterMillis() > 0 && isSooner) {
-                mBestRefusal = refusal;
-            }
-        }
     }
 
     TokenExchange(
@@ -97,9 +92,11 @@
     public void borrow(
             String workspace, List<String> lenders, int wanted, Consumer<TokenGrant> callback) {
         mLoop.execute(
-                () ->
-                        askNextLender(
-                                new BorrowRequest(workspace, lenders(lenders), wanted, callback)));
+                () -> {
+                    BorrowRequest request =
+                            new BorrowRequest(workspace, lenders(lenders), wanted, callback);
+                    perform(request, request.mRound.begin());
+                });
     }
 
     /**
@@ -125,15 +122,25 @@
         return untilNanos != null && mClock.getAsLong() - untilNanos < 0;
     }
 
-    private void askNextLender(BorrowRequest request) {
-        if (request.mRemainingLenders.isEmpty()) {
-            mTraffic.execute(() -> request.mCallback.accept(request.mBestRefusal));
-            return;
+    private void perform(BorrowRequest request, TokenRound.Step step) {
+        switch (step) {
+            case ASK_NEXT -> askNextLender(request);
+            case AWAIT_LATE_ANSWERS ->
+                    mLoop.schedule(
+                            () -> giveUp(request), LATE_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+            case REFUSED -> refuse(request);
+            default -> {
+                // An earlier question is still open.
+            }
         }
-        InstanceEntry lender = request.mRemainingLenders.remove(0);
+    }
+
+    private void askNextLender(BorrowRequest request) {
+        InstanceEntry lender = request.mLenders.get(request.mRound.ask());
         mLastQuestionNumber++;
         long number = mLastQuestionNumber;
         mPendingRequests.put(number, request);
+        request.mQuestionNumbers.add(number);
         TokenQuestion.Builder question =
                 TokenQuestion.newBuilder()
                         .setNumber(number)
@@ -150,26 +157,39 @@
     }
 
     private void onTimeout(long number, InstanceEntry lender) {
-        BorrowRequest request = mPendingRequests.remove(number);
+        BorrowRequest request = mPendingRequests.get(number);
         if (request != null) {
             mUnresponsiveUntilNanos.put(lender.name(), mClock.getAsLong() + UNRESPONSIVE_NANOS);
-            askNextLender(request);
+            perform(request, request.mRound.onSilence(lender.name()));
         }
     }
 
+    private void giveUp(BorrowRequest request) {
+        if (request.mRound.giveUp()) {
+            refuse(request);
+        }
+    }
+
+    private void refuse(BorrowRequest request) {
+        finish(request, new TokenGrant(0, request.mRound.shortestRetryMillis()));
+    }
+
+    private void finish(BorrowRequest request, TokenGrant grant) {
+        request.mQuestionNumbers.forEach(mPendingRequests::remove);
+        mTraffic.execute(() -> request.mCallback.accept(grant));
+    }
+
     void onAnswer(String instance, TokenAnswer answer) {
         mUnresponsiveUntilNanos.remove(instance);
         BorrowRequest request = mPendingRequests.remove(answer.getNumber());
         if (request == null) {
             return;
         }
-        if (answer.getGranted()) {
-            TokenGrant grant = new TokenGrant(Math.max(1, answer.getTokens()), 0);
-            mTraffic.execute(() -> request.mCallback.accept(grant));
-            return;
+        if (!answer.getGranted()) {
+            perform(request, request.mRound.onRefusal(instance, answer.getRetryAfterMillis()));
+        } else if (request.mRound.onGrant()) {
+            finish(request, new TokenGrant(Math.max(1, answer.getTokens()), 0));
         }
-        request.onRefused(new TokenGrant(0, answer.getRetryAfterMillis()));
-        askNextLender(request);
     }
 
     void onQuestion(TokenQuestion question, InetSocketAddress sender) {
