Warm up the code of statements before the first caller comes

Cause: a fleet that had 19 s before traffic served its first callers with cold code.

Change: 0.7 s after the listener opened, unless callers have come, the gateway runs 60 sessions of twelve statements against a server of its own on the loopback address, through a second TrafficServer with a configuration and servers that exist for that only (WarmUp). No server of the fleet is asked and no limit is used; a caller ends it. The platform's lines come from LineWarmUpScript.

Test: WarmUpEndToEndTest.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.plantainferry.gateway.traffic.TokenGrant;
 import org.plantainferry.gateway.traffic.TrafficMetrics;
 import org.plantainferry.gateway.traffic.TrafficServer;
+import org.plantainferry.gateway.warmup.WarmUp;
 
 /**
  * Assembles and runs the gateway of one instance.
@@ -44,13 +45,18 @@
     // The operators' endpoint opens after this time even without a configuration, so that operators
     // can see that the instance is not ready.
     private static final long OPERATOR_ENDPOINT_TIMEOUT_MILLIS = 3_000;
-    private static final long OPERATOR_ENDPOINT_DELAY_MILLIS = 1_500;
+    private static final long OPERATOR_ENDPOINT_DELAY_MILLIS = 800;
     // The load balancer stops sending new callers after two failed health checks, one a second.
     private static final long BALANCER_NOTICE_MILLIS = 2_300;
     private static final long DRAIN_POLL_MILLIS = 50;
+    // After a restart under load, the first callers come within this time.
+    private static final long WARM_UP_DELAY_MILLIS = 700;
     private static final long EXIT_RESERVE_MILLIS = 700;
 
     private final GatewaySettings mSettings;
+    private final EventLoop mTrafficLoop;
+    private final PlatformConnection mPlatform;
+    private final LongSupplier mClock;
     private final ControlPlane mControlPlane;
     private final TrafficServer mTraffic;
     private final FleetController mFleetController;
@@ -65,6 +71,9 @@
         EventLoop traffic = singleThread("traffic").next();
         PlatformConnection platform = adapter.connect(settings, controlGroup);
         LongSupplier clock = new SuspensionAwareClock(System::nanoTime, System::currentTimeMillis);
+        mTrafficLoop = traffic;
+        mPlatform = platform;
+        mClock = clock;
         StoreFollowing following =
                 new StoreFollowing(
                         controlGroup.next(),
@@ -155,6 +164,12 @@
         mControlPlane.start();
         mFleetController.start();
         openWhenReady(ended, OPERATOR_ENDPOINT_TIMEOUT_MILLIS);
+        if (mOpen && ended.await(WARM_UP_DELAY_MILLIS, TimeUnit.MILLISECONDS)) {
+            return true;
+        }
+        if (mOpen) {
+            warmUp();
+        }
         if (mOpen && ended.await(OPERATOR_ENDPOINT_DELAY_MILLIS, TimeUnit.MILLISECONDS)) {
             return true;
         }
@@ -183,6 +198,21 @@
                 mSettings.instance(), mSettings.failureDomain(), mSettings.callerListener());
     }
 
+    /** Warms up unless callers have come already, who would have to wait for it. */
+    private void warmUp() {
+        if (mTraffic.counts().sessions() > 0) {
+            return;
+        }
+        new WarmUp(
+                        mTrafficLoop,
+                        mSettings,
+                        mPlatform.wireFormat(),
+                        mPlatform.warmUpScript(),
+                        mClock,
+                        () -> !mTraffic.hasNoSessions())
+                .start();
+    }
+
     private void startOperatorEndpoint() {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         mMeters.add(registry);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -24,6 +24,8 @@
     DRAIN_ENDED(6004, Logger.Level.INFO, "drain-ended sessions=%s transactions=%s"),
     /** The settings file was read again after a reload signal. */
     RELOADED(6005, Logger.Level.INFO, "settings-reread changed=%s"),
+    /** The warm-up ended, because it was complete or a caller came. */
+    WARM_UP_ENDED(6007, Logger.Level.INFO, "warm-up-ended sessions=%s took-ms=%s"),
     /** Experimental settings are in use. */
     EXPERIMENT(6006, Logger.Level.WARN, "experimental-settings %s"),
     /** A configuration came into force. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
@@ -29,4 +29,7 @@
 
     /** Returns the wire format of callers and servers. */
     WireFormat wireFormat();
+
+    /** Returns the lines with which a gateway warms up. */
+    WarmUpScript warmUpScript();
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LineCodec.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LineCodec.java
@@ -12,9 +12,10 @@
 import java.util.List;
 
 /** Decodes bytes into lines of UTF-8 text, and encodes text into bytes. */
-final class LineCodec {
+public final class LineCodec {
     /** The terminator of each line that is written. */
-    static final String LINE_END = "\r\n";
+    /** The end of a line. */
+    public static final String LINE_END = "\r\n";
 
     private static final int MAX_LINE_BYTES = 1024 * 1024;
     private static final StringEncoder ENCODER = new StringEncoder(StandardCharsets.UTF_8);
@@ -25,7 +26,7 @@
     /**
      * Adds a line decoder and a text encoder. Written text must contain its own line terminators.
      */
-    static void addTo(ChannelPipeline pipeline) {
+    public static void addTo(ChannelPipeline pipeline) {
         pipeline.addLast(new LineBasedFrameDecoder(MAX_LINE_BYTES))
                 .addLast(DECODER)
                 .addLast(ENCODER);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -151,6 +151,12 @@
         return pool;
     }
 
+    /** Closes all connections. */
+    void close() {
+        mGroups.values()
+                .forEach(group -> group.pools().values().forEach(ServerConnectionPool::close));
+    }
+
     /** Closes connections that have been idle for longer than their plan allows. */
     void closeIdleConnections() {
         for (ServerGroup group : mGroups.values()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -7,6 +7,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +47,7 @@
     private final Supplier<FleetView> mView;
     private final ConnectionBroker mBroker;
     private final TrafficContext mContext;
+    private final List<ScheduledFuture<?>> mPeriodicTasks = new ArrayList<>();
     private Channel mListener;
 
     /**
@@ -128,13 +132,39 @@
                         .bind(SocketAddresses.parse(mSettings.callerListener()))
                         .syncUninterruptibly()
                         .channel();
-        mLoop.scheduleWithFixedDelay(
-                this::cleanUp,
-                CLEANUP_INTERVAL_MILLIS,
-                CLEANUP_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
-        mLoop.scheduleWithFixedDelay(
-                mLimits::reportDemand, 0, DEMAND_REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        mPeriodicTasks.add(
+                mLoop.scheduleWithFixedDelay(
+                        this::cleanUp,
+                        CLEANUP_INTERVAL_MILLIS,
+                        CLEANUP_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS));
+        mPeriodicTasks.add(
+                mLoop.scheduleWithFixedDelay(
+                        mLimits::reportDemand,
+                        0,
+                        DEMAND_REPORT_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS));
+    }
+
+    /** Returns the address of the listener; must follow {@link #start}. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mListener.localAddress();
+    }
+
+    /** Returns whether no session is open; for the traffic thread only. */
+    public boolean hasNoSessions() {
+        return mContext.sessions().isEmpty();
+    }
+
+    /** Closes the listener, all sessions and all connections to servers. */
+    public void close() {
+        mPeriodicTasks.forEach(task -> task.cancel(false));
+        closeListener();
+        mLoop.execute(
+                () -> {
+                    List.copyOf(mContext.sessions()).forEach(CallerSession::close);
+                    mGroups.close();
+                });
     }
 
     private void cleanUp() {
