Give out no limit before the instances that start together know each other

That a restarted instance lacks the reports of the others is a fault of its own, but not this one.

Change: an instance that was not registered before becomes ready when it has listed the instances a second time, 0.5 s after its registration, or after 2 s. One that restarts finds its entry and does not wait.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -36,6 +36,8 @@
     private static final long EXPIRY_POLL_MILLIS = 200;
     private static final long REGISTER_RETRY_MILLIS = 1_000;
     private static final long REGISTRATION_SETTLING_MILLIS = 500;
+    // Without an answer to the second list, the instance becomes ready after this time.
+    private static final long SETTLING_TIMEOUT_MILLIS = 2_000;
     // Limits are divided among the listed instances. Without the list, a new process would use the
     // full limits, so it waits this long for the list before it becomes ready.
     private static final long INSTANCES_TIMEOUT_MILLIS = 800;
@@ -54,6 +56,7 @@
     private boolean mInstancesRead;
     private boolean mRegistering;
     private boolean mRegistered;
+    private boolean mSettled;
     private boolean mInstancesTimedOut;
     private boolean mExpiryScheduled;
     private final ConfirmedVersion mConfirmedVersion;
@@ -170,12 +173,23 @@
             mRegistered = true;
             // Instances that start together have not seen each other's entries.
             mLoop.schedule(
-                    mFollowing::readInstances, REGISTRATION_SETTLING_MILLIS, TimeUnit.MILLISECONDS);
+                    () -> mFollowing.readInstances(this::onSettled),
+                    REGISTRATION_SETTLING_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            mLoop.schedule(this::onSettled, SETTLING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
         mInstances.put(mSettings.instance(), ownEntry());
         register();
     }
 
+    /** Becomes ready, because the instances that started together are known to each other. */
+    private void onSettled() {
+        if (!mSettled) {
+            mSettled = true;
+            publish();
+        }
+    }
+
     /** Publishes the list of instances once it contains this instance. */
     private void onInstancesChanged() {
         if (!mInstances.containsKey(mSettings.instance())) {
@@ -229,8 +243,14 @@
         mListener.onView(mView, instances);
     }
 
+    /**
+     * Returns whether the limits can be divided among the right instances.
+     *
+     * <p>Instances that start together for the first time each see only themselves at first, and
+     * would each give out the whole limit.
+     */
     private boolean isInstanceListReadOrTimedOut() {
-        return mInstancesRead || mInstancesTimedOut;
+        return mRegistered ? mSettled : mInstancesRead || mInstancesTimedOut;
     }
 
     /** Updates the confirmation time of the view without a call to the listener. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -148,9 +148,13 @@
         }
     }
 
-    /** Reads the instances once more from the store. */
-    public void readInstances() {
-        mInstancesFollower.readConcurrently(() -> {});
+    /**
+     * Reads the instances once more from the store.
+     *
+     * @param successListener runs after the answer was applied
+     */
+    public void readInstances(Runnable successListener) {
+        mInstancesFollower.readConcurrently(successListener);
     }
 
     /**
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
@@ -40,7 +40,7 @@
 public final class WarmUp {
     private static final String LOOPBACK = "127.0.0.1";
     private static final String NAME = "warm-up";
-    private static final int SESSIONS = 60;
+    private static final int SESSIONS = 24;
     private static final long PAUSE_MILLIS = 10;
     private static final long STATEMENT_TIMEOUT_MILLIS = 2_000;
     private static final double UNLIMITED = 1_000_000;
