--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedLink.java
@@ -12,7 +12,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerListener;
 import org.plantainferry.gateway.peer.generated.FeedMessage;
@@ -46,7 +48,7 @@
 
     private final InstanceEntry mSource;
     private final Listener mListener;
-    private Channel mChannel;
+    private Optional<Channel> mChannel = Optional.empty();
     private boolean mAccepted;
     private boolean mEnded;
 
@@ -63,8 +65,22 @@
         return mAccepted;
     }
 
-    /** Connects and subscribes. */
+    /** Connects and subscribes; ends at once if the address of the other instance is invalid. */
     void open(EventLoop loop, String localAddress, FeedSubscription subscription) {
+        try {
+            connect(loop, localAddress, SocketAddresses.parse(mSource.peerAddress()), subscription);
+        } catch (PlantainferryException e) {
+            // The entry of an instance may come from another writer.
+            GatewayEvent.FEED_LINK_FAILED.log(mSource.name(), e.getMessage());
+            end();
+        }
+    }
+
+    private void connect(
+            EventLoop loop,
+            String localAddress,
+            InetSocketAddress address,
+            FeedSubscription subscription) {
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -79,10 +95,8 @@
                                         FeedChannels.build(channel.pipeline(), new Handler());
                                     }
                                 });
-        ChannelFuture connecting =
-                TcpKeepAlive.configure(bootstrap)
-                        .connect(SocketAddresses.parse(mSource.peerAddress()));
-        mChannel = connecting.channel();
+        ChannelFuture connecting = TcpKeepAlive.configure(bootstrap).connect(address);
+        mChannel = Optional.of(connecting.channel());
         connecting.addListener((ChannelFuture done) -> onConnected(done, subscription));
         loop.schedule(
                 () -> {
@@ -100,11 +114,10 @@
             return;
         }
         String firstLine = PeerListener.firstLine(PeerListener.FEEDS, "");
+        Channel channel = done.channel();
         // Written below the encoders, because the first line is not a message.
-        mChannel.pipeline()
-                .firstContext()
-                .write(ByteBufUtil.writeAscii(mChannel.alloc(), firstLine));
-        mChannel.writeAndFlush(FeedMessage.newBuilder().setSubscription(subscription).build());
+        channel.pipeline().firstContext().write(ByteBufUtil.writeAscii(channel.alloc(), firstLine));
+        channel.writeAndFlush(FeedMessage.newBuilder().setSubscription(subscription).build());
     }
 
     private void end() {
@@ -117,7 +130,7 @@
     /** Closes the link; the listener is not called any more. */
     void close() {
         mEnded = true;
-        mChannel.close();
+        mChannel.ifPresent(Channel::close);
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FeedMessage> {
