Remove an interface with one implementation, and ask one place who may lead

PrimaryMonitor and PrimaryReplacement each had a check that a server is neither leaving nor in an evacuated failure domain: both call FleetView.mayLead now. ConfirmationExchange resets its count of store reads again once the confirmation is fresh through another instance, as it did before the change to following; without that, later reads began at the longest backoff.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -128,6 +128,7 @@
         excludeSilentSource(ageNanos, now);
         boolean isFresh = ageNanos < mFreshNanos;
         if (isFresh && mFollowing.isFollowing() && !mLag.isBehind()) {
+            mStoreReads = 0;
             return;
         }
         if (!isSettled(now)) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
@@ -63,7 +63,7 @@
     private final PrimaryVerifier mVerifier;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private Set<String> mOtherInstances = Set.of();
-    private Set<String> mEvacuatedDomains = Set.of();
+    private Optional<FleetView> mView = Optional.empty();
 
     /** Creates replacements of primaries. */
     interface ReplacementFactory {
@@ -105,7 +105,7 @@
     void onView(FleetView view) {
         mCatalog = view.catalog();
         mOtherInstances = view.otherInstances();
-        mEvacuatedDomains = view.evacuatedDomains();
+        mView = Optional.of(view);
         mVerifier.onCatalog(mCatalog);
         for (String service : mCatalog.services()) {
             mCatalog.primary(service).ifPresent(primary -> mLastPrimaries.put(service, primary));
@@ -166,12 +166,12 @@
     }
 
     private boolean isEvacuated(CatalogServer server) {
-        return mEvacuatedDomains.contains(server.failureDomain());
+        return mView.filter(view -> view.isEvacuated(server)).isPresent();
     }
 
     private boolean hasReplacementElsewhere(String service) {
         return mCatalog.servers(service).stream()
-                .anyMatch(server -> !server.draining() && !isEvacuated(server));
+                .anyMatch(server -> mView.filter(view -> view.mayLead(server)).isPresent());
     }
 
     /** Schedules a replacement, which starts if a cause for it still exists after the delay. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -236,8 +236,7 @@
     }
 
     private boolean mayLead(CatalogServer server) {
-        return !server.draining()
-                && !mContext.view().get().evacuatedDomains().contains(server.failureDomain());
+        return mContext.view().get().mayLead(server);
     }
 
     /** Returns the number of servers whose logs may contain an acknowledged commit. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
@@ -22,11 +22,11 @@
  * control thread only.
  */
 final class FeedPublisher implements PeerProtocol {
-    private final List<PassedFeed> mFeeds;
+    private final List<SharedFeed<?>> mFeeds;
     private final Set<Channel> mSubscribers = new HashSet<>();
 
     /** Creates a publisher of feeds; {@code feeds} may be filled later. */
-    FeedPublisher(List<PassedFeed> feeds) {
+    FeedPublisher(List<SharedFeed<?>> feeds) {
         mFeeds = feeds;
     }
 
@@ -51,7 +51,7 @@
     }
 
     private void onSubscription(Channel channel, FeedSubscription subscription) {
-        for (PassedFeed feed : mFeeds) {
+        for (SharedFeed<?> feed : mFeeds) {
             feed.updateAfter(revisionOf(subscription, feed))
                     .map(update -> FeedMessage.newBuilder().setUpdate(update).build())
                     .ifPresent(channel::write);
@@ -61,7 +61,7 @@
         mSubscribers.add(channel);
     }
 
-    private static long revisionOf(FeedSubscription subscription, PassedFeed feed) {
+    private static long revisionOf(FeedSubscription subscription, SharedFeed<?> feed) {
         return subscription.getRevisionsList().stream()
                 .filter(revision -> revision.getFeed() == feed.name())
                 .mapToLong(FeedRevision::getRevision)
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/SharedFeed.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/SharedFeed.java
@@ -21,7 +21,7 @@
  * <p>Revisions are those of the store, so objects from any source can be compared: a page that is
  * older than what is known is ignored. Used by the control thread only.
  */
-final class SharedFeed<T> implements FeedListener<T>, PassedFeed {
+final class SharedFeed<T> implements FeedListener<T> {
     // A server that lost its entry in an outage is back within this time after it.
     private static final long OUTAGE_RELEVANT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -53,18 +53,18 @@
         mSubscribers = subscribers;
     }
 
-    @Override
-    public FeedName name() {
+    /** Returns the name of the feed in messages. */
+    FeedName name() {
         return mName;
     }
 
-    @Override
-    public long knownRevision() {
+    /** Returns the revision up to which this instance knows all changes; 0 before any read. */
+    long knownRevision() {
         return mContents.knownRevision();
     }
 
-    @Override
-    public long lastChangeRevision() {
+    /** Returns the revision of the newest change that this instance knows; 0 if there was none. */
+    long lastChangeRevision() {
         return mContents.lastChangeRevision();
     }
 
@@ -96,8 +96,8 @@
         }
     }
 
-    @Override
-    public Optional<FeedUpdate> updateAfter(long revision) {
+    /** Returns what a subscriber lacks that knows all changes up to a revision. */
+    Optional<FeedUpdate> updateAfter(long revision) {
         return revision >= mContents.lastChangeRevision()
                 ? Optional.empty()
                 : Optional.of(update(true, mContents.entries()));
@@ -128,8 +128,13 @@
         return isRecent ? TimeUnit.NANOSECONDS.toMillis(mOutageNanos) : 0;
     }
 
-    @Override
-    public void onUpdate(FeedUpdate update) throws InvalidProtocolBufferException {
+    /**
+     * Applies an update of another instance; does nothing if it is older than what is known.
+     *
+     * @throws InvalidProtocolBufferException if an object of the update cannot be decoded; then
+     *     nothing is applied
+     */
+    void onUpdate(FeedUpdate update) throws InvalidProtocolBufferException {
         List<FeedEntry<T>> entries = new ArrayList<>();
         for (FeedObject object : update.getObjectsList()) {
             Optional<T> value =
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -41,8 +41,8 @@
     private final String mLocalAddress;
     private final LongSupplier mClock;
     private final Consumer<String> mLostSourceListener;
-    private final List<PassedFeed> mFeeds = new ArrayList<>();
-    private final Map<PassedFeed, FeedFollower<?>> mFollowers = new HashMap<>();
+    private final List<SharedFeed<?>> mFeeds = new ArrayList<>();
+    private final Map<SharedFeed<?>, FeedFollower<?>> mFollowers = new HashMap<>();
     private final FeedPublisher mPublisher = new FeedPublisher(mFeeds);
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
     private FeedFollower<InstanceEntry> mInstancesFollower;
@@ -114,7 +114,7 @@
         return new FeedFollower<>(mLoop, name, feed, watchMillis, batchMillis, mClock, listener);
     }
 
-    private void add(PassedFeed feed, FeedFollower<?> follower) {
+    private void add(SharedFeed<?> feed, FeedFollower<?> follower) {
         mFeeds.add(feed);
         mFollowers.put(feed, follower);
     }
@@ -181,7 +181,7 @@
         mLink = Optional.empty();
     }
 
-    private static void watch(PassedFeed feed, FeedFollower<?> follower) {
+    private static void watch(SharedFeed<?> feed, FeedFollower<?> follower) {
         follower.watchFrom(feed.knownRevision());
     }
 
@@ -209,13 +209,13 @@
     private FeedSubscription subscription() {
         FeedSubscription.Builder subscription =
                 FeedSubscription.newBuilder().setInstance(mInstance);
-        for (PassedFeed feed : mFeeds) {
+        for (SharedFeed<?> feed : mFeeds) {
             subscription.addRevisions(revision(feed, feed.knownRevision()));
         }
         return subscription.build();
     }
 
-    private static FeedRevision revision(PassedFeed feed, long revision) {
+    private static FeedRevision revision(SharedFeed<?> feed, long revision) {
         return FeedRevision.newBuilder().setFeed(feed.name()).setRevision(revision).build();
     }
 
@@ -235,7 +235,7 @@
                 .isPresent();
     }
 
-    private Optional<PassedFeed> feed(FeedName name) {
+    private Optional<SharedFeed<?>> feed(FeedName name) {
         return mFeeds.stream().filter(feed -> feed.name() == name).findFirst();
     }
 
@@ -254,7 +254,7 @@
 
         @Override
         public void onUpdate(FeedLink link, FeedUpdate update) {
-            Optional<PassedFeed> feed = feed(update.getFeed());
+            Optional<SharedFeed<?>> feed = feed(update.getFeed());
             if (feed.isEmpty()) {
                 return;
             }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/FleetView.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
 import org.plantainferry.engine.catalog.ServerCatalog;
 
@@ -27,6 +28,16 @@
         otherInstanceDomains = Map.copyOf(otherInstanceDomains);
     }
 
+    /** Returns whether the failure domain of a server is evacuated. */
+    public boolean isEvacuated(CatalogServer server) {
+        return evacuatedDomains.contains(server.failureDomain());
+    }
+
+    /** Returns whether a server may be made the primary of its group. */
+    public boolean mayLead(CatalogServer server) {
+        return !server.draining() && !isEvacuated(server);
+    }
+
     /** Returns the instances other than this one. */
     public Set<String> otherInstances() {
         return otherInstanceDomains.keySet();
