--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Needs the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 exec timeout -k 5 110 java -cp target/review:target/run/plantainferry-platform.jar \
-  review.LineFeedCase "$PWD/review/2/record.txt"
+  review.HeldOrderCase "$PWD/review/2/record.txt"
