--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -29,6 +29,7 @@
             String host,
             int peerPort,
             String store,
+            String orders,
             boolean platformFences)
             throws IOException {
         this.name = name;
@@ -50,7 +51,7 @@
                 """
                         .formatted(
                                 name, zone, host, host, port, host, mReadyPort, peerPort, store,
-                                store, platformFences));
+                                orders, platformFences));
     }
 
     /** Reads the words of the command from deploy/system.toml. */
--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -145,6 +145,7 @@
         private long mTerm = 3;
         private long mHeldTerm;
         private volatile boolean mDown;
+        private boolean mDraining;
         private final long mBorn = System.currentTimeMillis();
 
         private Server(String id, String host, String zone) throws IOException {
@@ -169,7 +170,7 @@
                             zone,
                             mBorn,
                             mLeads,
-                            state));
+                            mDraining ? "draining" : state));
         }
 
         private void follow(Server next) {
@@ -190,6 +191,14 @@
             }
         }
 
+        /** Announces that the server is to be replaced. */
+        void announceLeaving() {
+            synchronized (Group.this) {
+                mDraining = true;
+                writeEntry("draining");
+            }
+        }
+
         /** Crashes for good. Its entry is removed by {@link #expire}. */
         void crash() throws IOException {
             mDown = true;
--- a/review/standin/Setup.java
+++ b/review/standin/Setup.java
@@ -23,6 +23,10 @@
     final StoreStandIn store;
     final Group group;
     final List<Gateway> gateways = new ArrayList<>();
+
+    /** The generation numbers of the calls of POST /promote, in the order of their arrival. */
+    final List<Long> orderTokens = new ArrayList<>();
+
     private final int mHostBlock = 20 + (int) (ProcessHandle.current().pid() % 200);
     private final int mPeerPort;
     private int mNextHost = 10;
@@ -34,8 +38,12 @@
         store =
                 new StoreStandIn(
                         (service, server, token) -> {
-                            record.line("POST /promote " + server + " token " + token);
-                            return holder[0].promote(server);
+                            int status = holder[0].promote(server);
+                            synchronized (orderTokens) {
+                                orderTokens.add(token);
+                            }
+                            record.note("POST /promote " + server + " token " + token);
+                            return status;
                         });
         group = new Group("svc", platformFences, store, record, slots, workMillis);
         holder[0] = group;
@@ -78,6 +86,11 @@
     }
 
     Gateway gateway(String name, String zone) throws IOException {
+        return gateway(name, zone, store.address());
+    }
+
+    /** Creates a gateway whose calls of POST /promote go to an address of their own. */
+    Gateway gateway(String name, String zone, String orders) throws IOException {
         Gateway gateway =
                 new Gateway(
                         directory,
@@ -87,6 +100,7 @@
                         host(),
                         mPeerPort,
                         store.address(),
+                        orders,
                         group.platformFences);
         gateways.add(gateway);
         return gateway;
