--- a/review/standin/Setup.java
+++ b/review/standin/Setup.java
@@ -5,12 +5,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.plantainferry.platform.standin.FreePorts;
 import org.plantainferry.platform.standin.StandInDocuments;
 import org.plantainferry.platform.standin.StoreStandIn;
 
 /** The parts that all scripts share: directory, record, store, one group and its gateways. */
 final class Setup implements AutoCloseable {
+    private static final int BROKEN_STATUS = 10;
+    private static final int NOT_RUN_STATUS = 2;
+
     static final String PRIMARY = "db-primary";
     static final String BOUNDED = "db-bounded";
     static final String SESSION = "db-session";
@@ -22,7 +26,7 @@
     final Record record;
     final StoreStandIn store;
     final Group group;
-    final List<Gateway> gateways = new ArrayList<>();
+    final List<Gateway> gateways = new CopyOnWriteArrayList<>();
 
     /** The generation numbers of the calls of POST /promote, in the order of their arrival. */
     final List<Long> orderTokens = new ArrayList<>();
@@ -32,6 +36,13 @@
     private int mNextHost = 10;
 
     Setup(String recordFile, boolean platformFences, int slots, int workMillis) throws IOException {
+        // Whatever ends the run, no gateway stays behind, and a failed run does not count.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killGateways));
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, failure) -> {
+                    failure.printStackTrace();
+                    System.exit(NOT_RUN_STATUS);
+                });
         directory = Files.createTempDirectory("review");
         record = new Record(Path.of(recordFile));
         Group[] holder = new Group[1];
@@ -106,22 +117,27 @@
         return gateway;
     }
 
-    /** Ends the run with the exit status that the scripts promise. */
+    /** Ends the run: status 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
     void exit(int status, String text) {
         record.note((status == 0 ? "HELD: " : status == 1 ? "BROKEN: " : "NOT RUN: ") + text);
         close();
-        System.exit(status);
+        // A failure of the Java runtime exits with 1, so run-case.sh expects another status here.
+        System.exit(status == 1 ? BROKEN_STATUS : status);
     }
 
-    @Override
-    public void close() {
-        for (Gateway gateway : gateways) {
+    private void killGateways() {
+        for (Gateway gateway : List.copyOf(gateways)) {
             try {
                 gateway.kill();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         }
+    }
+
+    @Override
+    public void close() {
+        killGateways();
         record.close();
         if (System.getenv("KEEP") == null) {
             deleteDirectory();
