--- a/review/standin/HoldingProxy.java
+++ b/review/standin/HoldingProxy.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -17,6 +18,8 @@
  */
 final class HoldingProxy {
     private static final long FIRST_RETRANSMISSION_MILLIS = 200;
+    private static final int BUFFER_BYTES = 65_536;
+    private static final int QUIET_MILLIS = 100;
 
     private final ServerSocket mListener;
     private final InetSocketAddress mTarget;
@@ -77,32 +80,60 @@
     }
 
     private void forward(Socket from, Socket to, boolean counts) {
-        byte[] buffer = new byte[8_192];
+        byte[] buffer = new byte[BUFFER_BYTES];
         try {
             while (true) {
                 // Waiting for the first byte leaves the others in the kernel.
-                int first = from.getInputStream().read(buffer, 0, 1);
-                awaitDelivery();
-                if (first < 0) {
+                int length = from.getInputStream().read(buffer, 0, 1);
+                boolean wasHeld = awaitDelivery();
+                boolean hasEnded = length < 0;
+                if (!hasEnded && wasHeld) {
+                    int more = readMore(from, buffer, length);
+                    while (more > 0) {
+                        length += more;
+                        more = readMore(from, buffer, length);
+                    }
+                    hasEnded = more < 0;
+                } else if (!hasEnded && from.getInputStream().available() > 0) {
+                    length += from.getInputStream().read(buffer, 1, BUFFER_BYTES - 1);
+                }
+                if (length > 0) {
+                    to.getOutputStream().write(buffer, 0, length);
+                    mForwarded += counts ? length : 0;
+                }
+                if (hasEnded) {
                     to.shutdownOutput();
                     return;
                 }
-                int rest = Math.min(from.getInputStream().available(), buffer.length - 1);
-                int length = 1 + Math.max(0, rest == 0 ? 0 : readMore(from, buffer, rest));
-                to.getOutputStream().write(buffer, 0, length);
-                mForwarded += counts ? length : 0;
             }
         } catch (IOException | InterruptedException e) {
+            // Bytes that were held are lost when their sender has reset the connection.
             closeBoth(from, to);
         }
     }
 
-    private static int readMore(Socket from, byte[] buffer, int length) throws IOException {
-        return from.getInputStream().read(buffer, 1, length);
+    /**
+     * Reads what follows held bytes: the number of bytes, 0 if none come for now, -1 at the end.
+     *
+     * @throws IOException if the sender has reset the connection
+     */
+    private static int readMore(Socket from, byte[] buffer, int offset) throws IOException {
+        from.setSoTimeout(QUIET_MILLIS);
+        try {
+            return from.getInputStream().read(buffer, offset, BUFFER_BYTES - offset);
+        } catch (SocketTimeoutException e) {
+            return 0;
+        } finally {
+            from.setSoTimeout(0);
+        }
     }
 
-    /** Waits for the first retransmission of TCP that comes after the cut. */
-    private void awaitDelivery() throws InterruptedException {
+    /**
+     * Waits for the first retransmission of TCP that comes after the cut; returns whether there was
+     * one.
+     */
+    private boolean awaitDelivery() throws InterruptedException {
+        boolean wasCut = mCut;
         long startNanos = System.nanoTime();
         long delayMillis = FIRST_RETRANSMISSION_MILLIS;
         long dueMillis = delayMillis;
@@ -112,6 +143,7 @@
             delayMillis *= 2;
             dueMillis += delayMillis;
         }
+        return wasCut;
     }
 
     private static void closeBoth(Socket from, Socket to) {
