--- a/review/standin/ReplacedFleetCase.java
+++ b/review/standin/ReplacedFleetCase.java
@@ -37,7 +37,9 @@
 
     public static void main(String[] arguments) throws Exception {
         // TROUBLE=loss: the primary is lost and all processes are killed, but nothing is replaced.
-        boolean replaces = !List.of("0", "loss").contains(String.valueOf(System.getenv("TROUBLE")));
+        // TROUBLE=few: instead of being replaced, two of the three gateways are lost for good.
+        String trouble = String.valueOf(System.getenv("TROUBLE"));
+        boolean replaces = !List.of("0", "loss", "few").contains(trouble);
         Setup setup = new Setup(arguments[0], false, 5, 20);
         setup.startServers("a", "b", "c");
         setup.writeConfiguration(1, 69, 500);
@@ -52,6 +54,8 @@
         Thread.sleep(4_000);
         if (replaces) {
             replaceAll(setup, serving);
+        } else if (trouble.equals("few")) {
+            loseAllButOne(setup, serving);
         } else {
             Thread.sleep(15_000);
         }
@@ -118,6 +122,19 @@
         }
     }
 
+    private static void loseAllButOne(Setup setup, List<Gateway> serving)
+            throws InterruptedException {
+        while (serving.size() > 1) {
+            Gateway lost;
+            synchronized (serving) {
+                lost = serving.remove(0);
+            }
+            setup.record.note(lost.name + " is lost for good");
+            lost.kill();
+            Thread.sleep(3_000);
+        }
+    }
+
     private static List<Thread> startCallers(Setup setup, List<Gateway> serving) {
         List<Thread> callers = new ArrayList<>();
         for (int index = 0; index < CALLERS; index++) {
