Withdraw calls and statements that are given up, so that none runs after a newer one

Cause: a connection whose call had no answer was closed in the ordinary way, and the operating system goes on to deliver what it has accepted. A call's time limit also left out the time to connect, so that a call could last until 3.6 s after its claim was written, while another instance takes the claim over after 2.5 s. Statements to servers (STEPDOWN among them) and relayed ones were delivered late in the same way.

Why this works: a reset makes the sender's operating system drop what is not delivered, also when the process is killed. A promotion call starts at most 0.7 s after its claim was written and ends within 1.5 s, 0.3 s before the claim can be taken over. PF6213 tells that a call had no answer; it was not in the logs.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -363,7 +363,7 @@
     }
 
     private void promote(String server) {
-        if (!mClaimManager.isExclusive()) {
+        if (!mClaimManager.maySendPromotion()) {
             mClaimManager.renew(
                     mNewestOrder,
                     mUnansweredPromotion,
@@ -377,7 +377,11 @@
             return;
         }
         mContext.promotions()
-                .promote(mService, server, mClaimManager.currentClaim())
+                .promote(
+                        mService,
+                        server,
+                        mClaimManager.currentClaim(),
+                        PromotionClaimManager.PROMOTION_CALL_TIMEOUT_MILLIS)
                 .whenComplete(
                         (result, failure) ->
                                 mLoop.execute(() -> onPromotionResult(server, result, failure)));
@@ -393,7 +397,14 @@
             close("the platform refused the promotion");
             return;
         }
-        mUnansweredPromotion |= failure != null;
+        if (failure != null) {
+            mUnansweredPromotion = true;
+            GatewayEvent.PROMOTION_UNANSWERED.log(
+                    mService,
+                    server,
+                    mClaimManager.currentClaim().fencingToken(),
+                    Futures.unwrap(failure).getMessage());
+        }
         if (isCatalogPrimary(server)) {
             awaitNewPrimary(server, now());
         } else if (elapsedMillis() > ORDER_TIMEOUT_MILLIS) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
@@ -19,10 +19,16 @@
  * <p>Used by the control thread only.
  */
 final class PromotionClaimManager {
+    /** The time for which a promotion call may wait for its answer. */
+    static final long PROMOTION_CALL_TIMEOUT_MILLIS = 1_500;
+
     private static final long FOREIGN_CLAIM_EXPIRY_MILLIS = 2_500;
     private static final long FOREIGN_CLAIM_POLL_MILLIS = 250;
-    // Must be well below the time after which another instance takes over an unchanged claim.
-    private static final long EXCLUSIVE_MILLIS = 1_500;
+    // Covers timers that fire late.
+    private static final long CALL_END_MARGIN_MILLIS = 300;
+    // A promotion call must have ended when another instance takes over an unchanged claim.
+    private static final long LAST_CALL_START_MILLIS =
+            FOREIGN_CLAIM_EXPIRY_MILLIS - CALL_END_MARGIN_MILLIS - PROMOTION_CALL_TIMEOUT_MILLIS;
 
     private final EventLoop mLoop;
     private final ClaimStore mClaimStore;
@@ -59,9 +65,12 @@
         return mClaim;
     }
 
-    /** Returns whether no other instance can have taken over the claim. */
-    boolean isExclusive() {
-        return millisSince(mLastWriteNanos) < EXCLUSIVE_MILLIS;
+    /**
+     * Returns whether a promotion call that starts now ends before another instance can take over
+     * the claim.
+     */
+    boolean maySendPromotion() {
+        return millisSince(mLastWriteNanos) < LAST_CALL_START_MILLIS;
     }
 
     /**
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -89,6 +89,11 @@
      * store shows no claim.
      */
     STORE_LEASE(6212, Logger.Level.INFO, "store-lease state=%s claimed=%s reason=\"%s\""),
+    /** A promotion call had no answer and was withdrawn; the platform may still execute it. */
+    PROMOTION_UNANSWERED(
+            6213,
+            Logger.Level.WARN,
+            "promotion-unanswered service=%s server=%s token=%s reason=\"%s\""),
     /** No server connection was acquired for a request in time. */
     REQUEST_UNPLACED(
             6301,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/relay/RelayServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/relay/RelayServer.java
@@ -28,6 +28,7 @@
  */
 public final class RelayServer implements PeerProtocol {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int RESET_ON_CLOSE_SECONDS = 0;
 
     private final EventLoop mLoop;
     private final String mLocalAddress;
@@ -68,6 +69,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // What the other instance has given up must not reach the server later.
+                .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE_SECONDS)
                 .option(ChannelOption.AUTO_READ, false)
                 .localAddress(new InetSocketAddress(mLocalAddress, 0))
                 .handler(new ChannelInboundHandlerAdapter())
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClient.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClient.java
@@ -11,8 +11,11 @@
     /**
      * Promotes a server under a claim; returns at once.
      *
-     * <p>The future fails if there is no answer; the platform may still execute the promotion
-     * later.
+     * <p>The future fails if there is no answer in time. A call that has not reached the platform
+     * by then is withdrawn; the platform may still execute one that has.
+     *
+     * @param timeoutMillis milliseconds to wait for the answer, which include the time to connect
      */
-    CompletableFuture<PromotionResult> promote(String service, String server, PromotionClaim claim);
+    CompletableFuture<PromotionResult> promote(
+            String service, String server, PromotionClaim claim, long timeoutMillis);
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
@@ -43,6 +43,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int OPEN_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_CONSOLIDATED_FLUSHES = 64;
+    private static final int RESET_ON_CLOSE_SECONDS = 0;
 
     private final WireFormat mFormat;
     private final CatalogServer mServer;
@@ -286,7 +287,7 @@
         }
         mClosed = true;
         if (mChannel != null) {
-            mChannel.close();
+            closeChannel();
         }
         mCloseCallback.run();
         ServerReply lost = ServerReply.lost(reason);
@@ -299,4 +300,16 @@
             callback.accept(lost);
         }
     }
+
+    /**
+     * Closes the channel, with a reset if a statement has no answer: after an ordinary close the
+     * operating system would go on to deliver a statement that a network partition holds back.
+     */
+    private void closeChannel() {
+        boolean isAnswerOwed = hasPendingStatements() || mOpenCallback != null;
+        if (isAnswerOwed && mChannel.isActive()) {
+            mChannel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE_SECONDS);
+        }
+        mChannel.close();
+    }
 }
--- a/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnection.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnection.java
@@ -55,9 +55,11 @@
     /**
      * Sends a request without blocking.
      *
-     * <p>A request that follows before the response fails with the verdict {@code NOT_RUN}.
+     * <p>A request that follows before the response fails with the verdict {@code NOT_RUN}. A
+     * request that has no complete response in time is withdrawn: bytes that have not reached the
+     * server never will.
      *
-     * @param timeoutMillis milliseconds to wait for the complete response, at least 1
+     * @param timeoutMillis milliseconds from this call to the complete response, at least 1
      * @return a future of the response; it fails with the verdict {@code NOT_RUN} when no byte was
      *     written, and {@code MAY_HAVE_RUN} otherwise
      */
@@ -65,8 +67,10 @@
         Preconditions.notNull(request, "call");
         Preconditions.condition(timeoutMillis >= 1, "timeoutMillis must be at least 1");
         CompletableFuture<HttpResponse> result = new CompletableFuture<>();
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         try {
-            mChannel.eventLoop().execute(() -> startRequest(request, timeoutMillis, result));
+            mChannel.eventLoop()
+                    .execute(() -> startRequest(request, timeoutMillis, deadlineNanos, result));
         } catch (RejectedExecutionException e) {
             fail(result, mUnavailableCode, "the client is shut down", Verdict.NOT_RUN, e);
         }
@@ -134,7 +138,17 @@
     }
 
     private void startRequest(
-            HttpRequest request, long timeoutMillis, CompletableFuture<HttpResponse> result) {
+            HttpRequest request,
+            long timeoutMillis,
+            long deadlineNanos,
+            CompletableFuture<HttpResponse> result) {
+        // The process may have been stopped since the request was handed over.
+        long remainingNanos = deadlineNanos - System.nanoTime();
+        if (remainingNanos <= 0) {
+            String reason = "the request waited for " + timeoutMillis + " ms before it was sent";
+            fail(result, ErrorCode.DEADLINE_EXCEEDED, reason, Verdict.NOT_RUN, null);
+            return;
+        }
         if (!isOpen()) {
             fail(result, mUnavailableCode, "the connection is closed", Verdict.NOT_RUN, null);
             return;
@@ -156,8 +170,8 @@
                 mChannel.eventLoop()
                         .schedule(
                                 () -> onTimeout(timeoutMillis),
-                                timeoutMillis,
-                                TimeUnit.MILLISECONDS);
+                                remainingNanos,
+                                TimeUnit.NANOSECONDS);
         // A failed write may have sent some bytes, so its verdict is never NOT_RUN.
         mChannel.writeAndFlush(nettyRequest)
                 .addListener(
--- a/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnector.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnector.java
@@ -21,9 +21,15 @@
 /**
  * Opens HTTP connections, optionally bound to a local address.
  *
+ * <p>Their end is always a reset, also when the process is killed. After an ordinary close the
+ * operating system would go on to deliver a request that a network partition holds back, and the
+ * server would run it after the caller has given it up.
+ *
  * @since 0.1
  */
 public final class HttpConnector {
+    private static final int RESET_ON_CLOSE_SECONDS = 0;
+
     private final EventLoopGroup mGroup;
     private final Optional<InetAddress> mLocalAddress;
     private final int mConnectTimeoutMillis;
@@ -86,6 +92,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mConnectTimeoutMillis)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE_SECONDS)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
--- a/plantainferry-network/src/main/java/org/plantainferry/network/store/StoreConnectionPool.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/StoreConnectionPool.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.network.http.Futures;
@@ -40,6 +41,9 @@
     /**
      * Sends a request on an idle or new connection; fails immediately when 32 calls are in progress
      * or the pool is closed.
+     *
+     * @param timeoutMillis milliseconds from this call to the complete response, which include the
+     *     time to connect
      */
     public CompletableFuture<HttpResponse> send(HttpRequest request, long timeoutMillis) {
         CompletableFuture<HttpResponse> result = new CompletableFuture<>();
@@ -91,6 +95,7 @@
 
     private void connectAndSend(
             HttpRequest request, long timeoutMillis, CompletableFuture<HttpResponse> result) {
+        long startedNanos = System.nanoTime();
         mConnector
                 .connect(mAddress)
                 .whenComplete(
@@ -99,7 +104,11 @@
                                 endCall();
                                 result.completeExceptionally(Futures.unwrap(error));
                             } else if (register(connection)) {
-                                sendOn(connection, request, timeoutMillis, result);
+                                long elapsedMillis =
+                                        TimeUnit.NANOSECONDS.toMillis(
+                                                System.nanoTime() - startedNanos);
+                                long remainingMillis = Math.max(1, timeoutMillis - elapsedMillis);
+                                sendOn(connection, request, remainingMillis, result);
                             } else {
                                 endCall();
                                 connection.close();
