End the transaction with a commit that is refused because of its key

What callers saw: after a commit was refused because the key was withdrawn or could not be confirmed, the session answered READY E, and every later operation of the session failed as MALFORMED.

Cause: the refusal rolled the transaction back but kept it as the session's current one. The test finds READY E on the code before and READY I now.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -304,6 +304,10 @@
         GatewayEvent.TRANSACTION_ENDED.log(
                 request.id(), mTransaction.context().workspace(), refused.reason());
         mTransaction.rollBack();
+        if (request.statement() instanceof Statement.Commit) {
+            // A commit ends the transaction regardless of its outcome.
+            mTransaction = null;
+        }
         boolean isKeyGone = refused.code() == FailureCode.KEY_REFUSED;
         fail(isKeyGone ? FailureCode.KEY_REFUSED : FailureCode.ABORTED, refused.reason());
         return false;
