Read long messages of other instances whole, and send them in fragments

Cause: a demand report has all workspaces in one datagram, which was read with a buffer of 2,048 bytes, so that a longer one could not be parsed. Without reports of the others each gateway gave itself a large part. Messages of the quorum lease would have been cut in the same way once some fifty groups had a replacement.

Why this works: datagrams are read whole whatever their length, and messages of more than 2,048 bytes are sent in fragments that are put together again. A build before reads neither; it gets an incomplete report of at most 2,048 bytes first, with the workspaces nearest to their limits, which it takes for the whole one. Tests show both directions. PF6901 names sender and length, PF6113 a message above 1 MiB, which is not sent.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/DemandExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.plantainferry.engine.quota.ReportingProcesses;
@@ -15,10 +16,19 @@
 /**
  * Reports the demand of each workspace at this instance to the other instances.
  *
+ * <p>A report that is too long for one datagram is preceded by an incomplete one with the
+ * workspaces that are nearest to their limits, for builds that cannot read the whole one: a build
+ * without a report of an instance counts it with an even share, so that a limit is given out
+ * several times.
+ *
  * <p>Used by the control thread only, except {@link #onDemand}.
  */
 final class DemandExchange {
     private static final double MIN_REPORTED_PER_SECOND = 0.05;
+    // The tag and the length of an entry of up to 16 KiB.
+    private static final int ENTRY_OVERHEAD_BYTES = 3;
+    // The length of a report takes more bytes when entries are added.
+    private static final int MESSAGE_LENGTH_BYTES = 2;
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -42,15 +52,23 @@
         mProcess = random.nextLong();
     }
 
-    /** Broadcasts the demand reported by the traffic thread; may be called from any thread. */
+    /**
+     * Broadcasts the demand reported by the traffic thread; may be called from any thread.
+     *
+     * @param demandPerSecond operations per second by workspace, in order of decreasing importance
+     */
     void onDemand(Map<String, Double> demandPerSecond) {
         mLoop.execute(() -> broadcast(demandPerSecond));
     }
 
     private void broadcast(Map<String, Double> demandPerSecond) {
         mLastReported = demandPerSecond;
-        InstanceMessage message = message(demandPerSecond);
-        mOtherInstances.values().forEach(instance -> mPeers.send(message, instance.peerAddress()));
+        List<InstanceMessage> messages = messages(demandPerSecond);
+        mOtherInstances.values().forEach(instance -> send(messages, instance));
+    }
+
+    private void send(List<InstanceMessage> messages, InstanceEntry receiver) {
+        messages.forEach(message -> mPeers.send(message, receiver.peerAddress()));
     }
 
     void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
@@ -63,7 +81,8 @@
         }
     }
 
-    private InstanceMessage message(Map<String, Double> demand) {
+    /** Returns the report, after an incomplete one if it does not fit into one datagram. */
+    private List<InstanceMessage> messages(Map<String, Double> demand) {
         DemandReport.Builder report = DemandReport.newBuilder().setProcess(mProcess);
         demand.forEach(
                 (workspace, perSecond) -> {
@@ -74,13 +93,39 @@
                                         .setOperationsPerSecond(perSecond.floatValue()));
                     }
                 });
+        InstanceMessage whole = message(report);
+        if (whole.getSerializedSize() <= PeerChannel.MAX_DATAGRAM_BYTES) {
+            return List.of(whole);
+        }
+        return List.of(incompleteMessage(report), whole);
+    }
+
+    /** Returns a report of as many of the first workspaces as fit into one datagram. */
+    private InstanceMessage incompleteMessage(DemandReport.Builder whole) {
+        DemandReport.Builder report =
+                DemandReport.newBuilder().setProcess(mProcess).setIncomplete(true);
+        int bytes = message(report).getSerializedSize() + MESSAGE_LENGTH_BYTES;
+        for (WorkspaceDemand workspace : whole.getWorkspacesList()) {
+            bytes += workspace.getSerializedSize() + ENTRY_OVERHEAD_BYTES;
+            if (bytes > PeerChannel.MAX_DATAGRAM_BYTES) {
+                break;
+            }
+            report.addWorkspaces(workspace);
+        }
+        return message(report);
+    }
+
+    private InstanceMessage message(DemandReport.Builder report) {
         return InstanceMessage.newBuilder().setInstance(mInstance).setDemandReport(report).build();
     }
 
     void onReport(String instance, DemandReport report) {
+        if (report.getIncomplete()) {
+            return;
+        }
         InstanceEntry sender = mOtherInstances.get(instance);
         if (sender != null && mReportingProcesses.isFirstReport(instance, report.getProcess())) {
-            mPeers.send(message(mLastReported), sender.peerAddress());
+            send(messages(mLastReported), sender);
         }
         Map<String, Double> demand = new HashMap<>();
         for (WorkspaceDemand workspaceDemand : report.getWorkspacesList()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -52,6 +52,8 @@
     DOMAINS_EVACUATED(6111, Logger.Level.WARN, "domains-evacuated domains=%s"),
     /** An evacuation object is invalid and evacuates nothing. */
     EVACUATION_REJECTED(6112, Logger.Level.ERROR, "evacuation-rejected name=%s reason=\"%s\""),
+    /** A message to another instance exceeds the size limit and was not sent. */
+    PEER_MESSAGE_TOO_LONG(6113, Logger.Level.ERROR, "peer-message-too-long content=%s bytes=%s"),
     /** A primary is suspected to have failed. */
     PRIMARY_SUSPECTED(6201, Logger.Level.WARN, "primary-suspected service=%s server=%s reason=%s"),
     /** A server that was used as the primary refused a statement because it is a replica. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceRateLimiter.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WorkspaceRateLimiter.java
@@ -1,7 +1,9 @@
 package org.plantainferry.gateway.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -339,7 +341,20 @@
                     share.mReportedDemand = demand.getOrDefault(workspace, 0.0);
                     share.mResized = false;
                 });
-        mReportSink.accept(demand);
+        mReportSink.accept(nearestToLimitFirst(demand, limits));
+    }
+
+    /** Returns the demand in order of its ratio to the limit, the highest first. */
+    private static Map<String, Double> nearestToLimitFirst(
+            Map<String, Double> demand, Map<String, WorkspaceLimit> limits) {
+        Comparator<String> byRatio =
+                Comparator.comparingDouble(
+                        workspace -> demand.get(workspace) / limits.get(workspace).ratePerSecond());
+        Map<String, Double> sorted = new LinkedHashMap<>();
+        demand.keySet().stream()
+                .sorted(byRatio.reversed())
+                .forEach(workspace -> sorted.put(workspace, demand.get(workspace)));
+        return sorted;
     }
 
     /** Discards the state of workspaces that are no longer in the configuration. */
--- /dev/null
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/DemandExchangeTest.java
@@ -0,0 +1,133 @@
+package org.plantainferry.gateway.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.peer.generated.DemandReport;
+import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.spi.InstanceEntry;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a limit that is given out several times, because the demand reports of many
+ * workspaces with long names are too long to be read.
+ */
+public final class DemandExchangeTest {
+    private static final String LOCAL = "127.0.0.1";
+    // The buffer with which builds without fragments read datagrams.
+    private static final int FORMER_BUFFER_BYTES = 2_048;
+    private static final int WORKSPACES = 800;
+
+    private EventLoopGroup mGroup;
+
+    @BeforeMethod
+    public void startLoop() {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopLoop() {
+        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(LOCAL, 0))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static String workspace(int index) {
+        return "w".repeat(64) + index;
+    }
+
+    /** Returns the demand of many workspaces, with the most important one first. */
+    private static Map<String, Double> demand() {
+        Map<String, Double> demand = new LinkedHashMap<>();
+        demand.put("hot", 190.0);
+        for (int index = 0; index < WORKSPACES; index++) {
+            demand.put(workspace(index), 1.0);
+        }
+        return demand;
+    }
+
+    private void report(Map<String, Double> demand, int receiverPort) throws Exception {
+        EventLoop loop = mGroup.next();
+        PeerChannel peers = new PeerChannel(loop, LOCAL, freePort());
+        DemandExchange exchange = new DemandExchange(loop, "sender", null, peers, new Random(1));
+        InstanceEntry receiver = new InstanceEntry("receiver", "zone", LOCAL + ":" + receiverPort);
+        loop.submit(() -> exchange.onOtherInstances(Map.of("receiver", receiver))).sync();
+        exchange.onDemand(demand);
+    }
+
+    @Test(timeOut = 20_000)
+    public void reportsTheDemandOfAllWorkspaces() throws Exception {
+        int port = freePort();
+        BlockingQueue<DemandReport> whole = new LinkedBlockingQueue<>();
+        new PeerChannel(mGroup.next(), LOCAL, port)
+                .listen(
+                        (message, sender) -> {
+                            boolean isWhole = !message.getDemandReport().getIncomplete();
+                            if (isWhole && message.getDemandReport().getWorkspacesCount() > 0) {
+                                whole.add(message.getDemandReport());
+                            }
+                        });
+        report(demand(), port);
+        DemandReport report = whole.poll(10, TimeUnit.SECONDS);
+        assertEquals(report.getWorkspacesCount(), WORKSPACES + 1);
+        assertEquals(report.getWorkspaces(0).getWorkspace(), "hot");
+    }
+
+    @Test(timeOut = 20_000)
+    public void reportsTheMostImportantWorkspacesToABuildWithoutFragments() throws Exception {
+        try (DatagramSocket receiver = new DatagramSocket(new InetSocketAddress(LOCAL, 0))) {
+            receiver.setSoTimeout(10_000);
+            report(demand(), receiver.getLocalPort());
+            DemandReport report = DemandReport.getDefaultInstance();
+            while (report.getWorkspacesCount() == 0) {
+                DatagramPacket packet =
+                        new DatagramPacket(new byte[FORMER_BUFFER_BYTES], FORMER_BUFFER_BYTES);
+                receiver.receive(packet);
+                // Throws an exception if the datagram was cut.
+                byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
+                report = InstanceMessage.parseFrom(bytes).getDemandReport();
+            }
+            assertEquals(report.getWorkspaces(0).getWorkspace(), "hot");
+            assertTrue(report.getWorkspacesCount() > 20, "left out too much: " + report);
+        }
+    }
+
+    @Test(timeOut = 20_000)
+    public void sendsAShortReportOnceAndWhole() throws Exception {
+        try (DatagramSocket receiver = new DatagramSocket(new InetSocketAddress(LOCAL, 0))) {
+            receiver.setSoTimeout(10_000);
+            report(Map.of("hot", 190.0), receiver.getLocalPort());
+            DemandReport report = DemandReport.getDefaultInstance();
+            while (report.getWorkspacesCount() == 0) {
+                DatagramPacket packet =
+                        new DatagramPacket(new byte[FORMER_BUFFER_BYTES], FORMER_BUFFER_BYTES);
+                receiver.receive(packet);
+                byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
+                report = InstanceMessage.parseFrom(bytes).getDemandReport();
+            }
+            assertFalse(report.getIncomplete());
+        }
+    }
+}
