Read the store's lists such that one odd entry leaves the others in use

Reported by other operators: one odd entry of another writer among those of the servers (deeply nested, a number too large, a port out of range), and the machines stopped following the list.

Cause: the limits of the JSON parser applied to the whole answer of the store, so that one value beyond a limit made all entries unreadable, for good.

Why this works: a value beyond a limit is read as null, so that only its entry is unusable; an entry must have properties that can be used, and PF6114 and PF6004 say what is wrong with one that has not. The daemon reads its list entry by entry.

--- a/plantainferry-api/src/main/java/org/plantainferry/api/json/JsonTree.java
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/json/JsonTree.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -31,10 +32,21 @@
     private static final JsonNodeFactory NODE_FACTORY = JsonNodeFactory.instance;
     // Parsing is recursive; deeper values would overflow the small stacks of a gateway's threads.
     private static final int MAX_NESTING_DEPTH = 100;
+    private static final int MAX_NUMBER_LENGTH = 1_000;
     private static final StreamReadConstraints CONSTRAINTS =
-            StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build();
+            StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING_DEPTH)
+                    .maxNumberLength(MAX_NUMBER_LENGTH)
+                    .build();
     private static final JsonFactory MESSAGE_FACTORY =
             JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+    private static final JsonFactory LISTING_FACTORY =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            CONSTRAINTS.rebuild().maxNameLength(Integer.MAX_VALUE).build())
+                    .enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
+                    .enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
+                    .build();
     private static final JsonFactory FILE_FACTORY =
             JsonFactory.builder()
                     .streamReadConstraints(CONSTRAINTS)
@@ -55,6 +67,29 @@
         return read(MESSAGE_FACTORY, text, code);
     }
 
+    /**
+     * Reads the JSON text of a message that contains objects of many writers, such that an odd
+     * object leaves the others readable.
+     *
+     * <p>A value that is nested too deeply or a number that is too long is read as null. Control
+     * characters in strings and numbers like {@code NaN} are accepted.
+     *
+     * @throws PlantainferryException as {@link #read}
+     */
+    public static JsonNode readListing(String text, ErrorCode code) {
+        try {
+            return parse(LISTING_FACTORY, text, code);
+        } catch (StreamConstraintsException e) {
+            // Rare, so that only then the text is scanned a second time.
+            return read(
+                    LISTING_FACTORY,
+                    OversizedValues.remove(text, MAX_NESTING_DEPTH, MAX_NUMBER_LENGTH),
+                    code);
+        } catch (JsonProcessingException e) {
+            throw new PlantainferryException(code, Json.describe(e), e);
+        }
+    }
+
     /**
      * Reads the text of a file that people write; it may contain comments, but no duplicate
      * properties.
@@ -82,6 +117,15 @@
     }
 
     private static JsonNode read(JsonFactory factory, String text, ErrorCode code) {
+        try {
+            return parse(factory, text, code);
+        } catch (JsonProcessingException e) {
+            throw new PlantainferryException(code, Json.describe(e), e);
+        }
+    }
+
+    private static JsonNode parse(JsonFactory factory, String text, ErrorCode code)
+            throws JsonProcessingException {
         try (JsonParser parser = factory.createParser(text)) {
             if (parser.nextToken() == null) {
                 throw new PlantainferryException(code, "the JSON text is empty");
@@ -92,7 +136,7 @@
             }
             return tree;
         } catch (JsonProcessingException e) {
-            throw new PlantainferryException(code, Json.describe(e), e);
+            throw e;
         } catch (IOException e) {
             throw new UncheckedIOException("reading from memory failed", e);
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -52,6 +52,8 @@
     DOMAINS_EVACUATED(6111, Logger.Level.WARN, "domains-evacuated domains=%s"),
     /** An evacuation object is invalid and evacuates nothing. */
     EVACUATION_REJECTED(6112, Logger.Level.ERROR, "evacuation-rejected name=%s reason=\"%s\""),
+    /** The store entry of a server is invalid and names no server to use. */
+    SERVER_REJECTED(6114, Logger.Level.WARN, "server-rejected id=%s property=%s"),
     /** A message to another instance exceeds the size limit and was not sent. */
     PEER_MESSAGE_TOO_LONG(6113, Logger.Level.ERROR, "peer-message-too-long content=%s bytes=%s"),
     /** A primary is suspected to have failed. */
--- a/plantainferry-network/src/main/java/org/plantainferry/network/log/NetworkEvent.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/log/NetworkEvent.java
@@ -14,7 +14,9 @@
     /** A connection from a peer is closed after an error. */
     PEER_CONNECTION_CLOSED(6002, Logger.Level.DEBUG, "closing the peer connection %s: %s"),
     /** A message to an address that is not IP:PORT is dropped. */
-    PEER_MESSAGE_DROPPED(6003, Logger.Level.DEBUG, "dropping a message to %s: %s");
+    PEER_MESSAGE_DROPPED(6003, Logger.Level.DEBUG, "dropping a message to %s: %s"),
+    /** An entry of the platform's list of instances cannot be used. */
+    INSTANCE_REJECTED(6004, Logger.Level.WARN, "the entry of instance %s is not used: %s");
 
     private static final Logger LOGGER = Logger.getLogger("org.plantainferry.network");
     private static final String PREFIX = "PF";
--- a/plantainferry-network/src/main/java/org/plantainferry/network/store/HttpPlatformStore.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/HttpPlatformStore.java
@@ -1,12 +1,14 @@
 package org.plantainferry.network.store;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectReader;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,10 +21,12 @@
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.Verdict;
 import org.plantainferry.api.json.Json;
+import org.plantainferry.api.json.JsonTree;
 import org.plantainferry.network.http.Futures;
 import org.plantainferry.network.http.HttpConnector;
 import org.plantainferry.network.http.HttpRequest;
 import org.plantainferry.network.http.HttpResponse;
+import org.plantainferry.network.log.NetworkEvent;
 
 /**
  * Accesses the platform's store over HTTP.
@@ -246,18 +250,49 @@
 
     private static List<InstanceRecord> readInstances(HttpResponse response) {
         requireStatus(response, response.status() == OK);
-        return parse(response, InstancesBody.class).instances();
+        JsonNode entries = readTree(response).path("instances");
+        if (!entries.isArray()) {
+            throw new UnreadableResponseException("the response has no list of instances");
+        }
+        List<InstanceRecord> instances = new ArrayList<>();
+        for (JsonNode entry : entries) {
+            readInstance(entry).ifPresent(instances::add);
+        }
+        return instances;
+    }
+
+    /** Returns an entry; empty if it cannot be used, which leaves the others in use. */
+    private static Optional<InstanceRecord> readInstance(JsonNode entry) {
+        String id = entry.path("id").asText();
+        try {
+            InstanceRecord instance = READER.forType(InstanceRecord.class).readValue(entry);
+            if (instance.isComplete()) {
+                return Optional.of(instance);
+            }
+            NetworkEvent.INSTANCE_REJECTED.log(id, "a property is missing");
+        } catch (IOException e) {
+            NetworkEvent.INSTANCE_REJECTED.log(id, e.getMessage());
+        }
+        return Optional.empty();
+    }
+
+    private static JsonNode readTree(HttpResponse response) {
+        try {
+            return JsonTree.readListing(response.body(), ErrorCode.STORE_UNAVAILABLE);
+        } catch (PlantainferryException e) {
+            throw new UnreadableResponseException(e.getMessage());
+        }
     }
 
     private static <T> T parse(HttpResponse response, Class<T> type) {
         try {
-            T value = READER.forType(type).readValue(response.body());
+            T value = READER.forType(type).readValue(readTree(response));
             if (value == null) {
                 throw new UnreadableResponseException("the response is empty");
             }
             return value;
-        } catch (JsonProcessingException e) {
-            throw new UnreadableResponseException(e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new UnreadableResponseException(e.getMessage());
         }
     }
 
--- a/plantainferry-network/src/main/java/org/plantainferry/network/store/InstanceRecord.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/store/InstanceRecord.java
@@ -20,4 +20,14 @@
         String peerAddress,
         String callerAddress,
         String operatorAddress,
-        String state) {}
+        String state) {
+    /** Returns whether no property is missing. */
+    boolean isComplete() {
+        return id != null
+                && failureDomain != null
+                && peerAddress != null
+                && callerAddress != null
+                && operatorAddress != null
+                && state != null;
+    }
+}
--- a/plantainferry-network/src/test/java/org/plantainferry/network/store/HttpPlatformStoreTest.java
+++ b/plantainferry-network/src/test/java/org/plantainferry/network/store/HttpPlatformStoreTest.java
@@ -160,6 +160,34 @@
         }
     }
 
+    /** Provides entries that cannot be used. */
+    @DataProvider
+    public Object[][] oddInstances() {
+        return new Object[][] {
+            {"{\"id\":\"i0\",\"peerAddress\":" + "[".repeat(400) + "]".repeat(400) + "}"},
+            {"{\"id\":\"i0\",\"state\":{\"since\":" + "9".repeat(5_000) + "}}"},
+            {"{\"id\":{}}"},
+            {"\"bytes\""},
+            {"[]"},
+        };
+    }
+
+    /** Guards against one odd entry of another writer that makes the whole list unreadable. */
+    @Test(dataProvider = "oddInstances")
+    public void readsTheOtherInstancesBesideAnOddEntry(String odd) throws Exception {
+        String usable =
+                "{\"id\":\"i1\",\"failureDomain\":\"como-a\",\"peerAddress\":\"1\","
+                        + "\"callerAddress\":\"2\",\"operatorAddress\":\"3\",\"state\":\"live\"}";
+        String list = "{\"instances\":[" + odd + "," + usable + "]}";
+        try (ScriptedServer server = startServer(response(200, "", list))) {
+            assertEquals(
+                    await(newStore(server).instances()).stream()
+                            .map(InstanceRecord::operatorAddress)
+                            .toList(),
+                    List.of("3"));
+        }
+    }
+
     /** Guards against a watch that ends at the timeout for calls, or never. */
     @Test
     public void watchHasItsOwnTimeout() throws Exception {
