--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -465,9 +466,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof TooLongFrameException && !mClosed) {
+        boolean isTooLong = cause instanceof TooLongFrameException;
+        if ((isTooLong || cause instanceof CorruptedFrameException) && !mClosed) {
             mClosed = true;
-            mWriter.refuseSession(FailureCode.MALFORMED, "the line is longer than 1 MiB");
+            mWriter.refuseSession(
+                    FailureCode.MALFORMED,
+                    isTooLong ? "the line is longer than 1 MiB" : "the line is not UTF-8");
             releaseResources();
             return;
         }
