Count the age of a claim from its write, and bound the renewals before a promotion call

With a store that takes 0.35 s for a call the claim would have been renewed again and again without a call. The age counts from the sending of the write now, which is before anybody can see the new version, and after 20 renewals the replacement is given up with its reason. The test renews with a read that takes 1 s.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -45,6 +45,8 @@
     private static final long CATCH_UP_POLL_MILLIS = 60;
     private static final long ORDER_RETRY_MILLIS = 120;
     private static final long ORDER_TIMEOUT_MILLIS = 6_000;
+    // More than an order needs until its timeout, unless each renewal itself takes too long.
+    private static final int MAX_RENEWALS = 20;
     private static final long NEW_PRIMARY_TIMEOUT_MILLIS = 3_000;
     private static final long NEW_PRIMARY_POLL_MILLIS = 50;
     // Must be well below the time after which other instances release the group by themselves.
@@ -67,6 +69,7 @@
     private PromotionOrder mPreviousOrder = PromotionOrder.NONE;
     private PromotionOrder mNewestOrder = PromotionOrder.NONE;
     private boolean mUnansweredPromotion;
+    private int mRenewalCount;
 
     PrimaryReplacement(
             EventLoop loop,
@@ -364,6 +367,11 @@
 
     private void promote(String server) {
         if (!mClaimManager.maySendPromotion()) {
+            mRenewalCount++;
+            if (mRenewalCount > MAX_RENEWALS) {
+                close("the store is too slow for a promotion under the claim");
+                return;
+            }
             mClaimManager.renew(
                     mNewestOrder,
                     mUnansweredPromotion,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
@@ -162,17 +162,16 @@
      * @param callback runs once; receives whether the claim was renewed
      */
     void renew(PromotionOrder order, boolean unansweredPromotion, Consumer<Boolean> callback) {
-        long sentNanos = mClock.getAsLong();
         PromotionClaim renewed = mClaim.renewed(order, unansweredPromotion);
         writeIfHeld(renewed)
                 .whenComplete(
-                        (written, failure) ->
+                        (write, failure) ->
                                 mLoop.execute(
                                         () -> {
-                                            boolean isOwn = failure == null && written;
+                                            boolean isOwn = failure == null && write.isWritten();
                                             if (isOwn) {
                                                 mClaim = renewed;
-                                                mLastWriteNanos = sentNanos;
+                                                mLastWriteNanos = write.sentNanos();
                                             }
                                             callback.accept(isOwn);
                                         }));
@@ -184,18 +183,27 @@
                 .whenComplete((written, failure) -> mLoop.execute(callback));
     }
 
+    /** Represents a write of a claim, with the time at which its call was sent. */
+    private record ClaimWrite(boolean isWritten, long sentNanos) {}
+
     /** Writes a claim if the store still contains the current claim of this instance. */
-    private CompletableFuture<Boolean> writeIfHeld(PromotionClaim claim) {
+    private CompletableFuture<ClaimWrite> writeIfHeld(PromotionClaim claim) {
         return mClaimStore
                 .read(mService)
                 .thenCompose(
                         stored -> {
+                            long sentNanos = mClock.getAsLong();
                             boolean isOwn =
                                     stored.isPresent() && stored.get().claim().equals(mClaim);
-                            return isOwn
-                                    ? mClaimStore.write(
-                                            mService, Optional.of(stored.get().version()), claim)
-                                    : CompletableFuture.completedFuture(false);
+                            CompletableFuture<Boolean> written =
+                                    isOwn
+                                            ? mClaimStore.write(
+                                                    mService,
+                                                    Optional.of(stored.get().version()),
+                                                    claim)
+                                            : CompletableFuture.completedFuture(false);
+                            return written.thenApply(
+                                    isWritten -> new ClaimWrite(isWritten, sentNanos));
                         });
     }
 }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
@@ -12,10 +12,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -27,7 +29,7 @@
     private static final long POLLS_MILLIS = 800;
 
     /** Keeps one claim, as the store does. */
-    private static final class FakeStore implements ClaimStore {
+    private final class FakeStore implements ClaimStore {
         private Optional<StoredClaim> mClaim = Optional.empty();
 
         @Override
@@ -37,6 +39,7 @@
 
         @Override
         public synchronized CompletableFuture<Optional<StoredClaim>> read(String service) {
+            mNowMillis += mReadMillis;
             return CompletableFuture.completedFuture(mClaim);
         }
 
@@ -51,10 +54,11 @@
         }
     }
 
-    private final EventLoop mLoop = new DefaultEventLoop();
+    private EventLoop mLoop;
     private final FakeStore mStore = new FakeStore();
     private final BlockingQueue<Optional<String>> mAcquired = new LinkedBlockingQueue<>();
     private volatile long mNowMillis;
+    private volatile long mReadMillis;
 
     private PromotionClaimManager manager(String holder) {
         ReplacementContext context =
@@ -72,6 +76,14 @@
         return new PromotionClaimManager(mLoop, context, SERVICE, () -> false);
     }
 
+    @BeforeMethod
+    public void startLoop() {
+        mLoop = new DefaultEventLoop();
+        mStore.mClaim = Optional.empty();
+        mNowMillis = 0;
+        mReadMillis = 0;
+    }
+
     @AfterMethod(alwaysRun = true)
     public void stopLoop() {
         mLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -100,4 +112,19 @@
         assertEquals(mAcquired.poll(5, TimeUnit.SECONDS), Optional.empty());
         assertFalse(former.maySendPromotion());
     }
+
+    /**
+     * Guards against a replacement that renews its claim again and again while the store is slow.
+     */
+    @Test
+    public void maySendAPromotionAfterARenewalWhoseReadWasSlow() throws Exception {
+        PromotionClaimManager manager = manager("holder");
+        mLoop.submit(() -> manager.acquire(mAcquired::add)).sync();
+        assertEquals(mAcquired.poll(5, TimeUnit.SECONDS), Optional.empty());
+        mReadMillis = 1_000;
+        BlockingQueue<Boolean> renewed = new LinkedBlockingQueue<>();
+        mLoop.submit(() -> manager.renew(PromotionOrder.NONE, false, renewed::add)).sync();
+        assertEquals(renewed.poll(5, TimeUnit.SECONDS), Boolean.TRUE);
+        assertTrue(manager.maySendPromotion());
+    }
 }
