--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/DemandExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/DemandExchangeTest.java
@@ -98,17 +98,8 @@
     @Test(timeOut = 20_000)
     public void reportsTheMostImportantWorkspacesToABuildWithoutFragments() throws Exception {
         try (DatagramSocket receiver = new DatagramSocket(new InetSocketAddress(LOCAL, 0))) {
-            receiver.setSoTimeout(10_000);
             report(demand(), receiver.getLocalPort());
-            DemandReport report = DemandReport.getDefaultInstance();
-            while (report.getWorkspacesCount() == 0) {
-                DatagramPacket packet =
-                        new DatagramPacket(new byte[FORMER_BUFFER_BYTES], FORMER_BUFFER_BYTES);
-                receiver.receive(packet);
-                // Throws an exception if the datagram was cut.
-                byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
-                report = InstanceMessage.parseFrom(bytes).getDemandReport();
-            }
+            DemandReport report = receiveAsFormerBuild(receiver);
             assertEquals(report.getWorkspaces(0).getWorkspace(), "hot");
             assertTrue(report.getWorkspacesCount() > 20, "left out too much: " + report);
         }
@@ -117,17 +108,22 @@
     @Test(timeOut = 20_000)
     public void sendsAShortReportOnceAndWhole() throws Exception {
         try (DatagramSocket receiver = new DatagramSocket(new InetSocketAddress(LOCAL, 0))) {
-            receiver.setSoTimeout(10_000);
             report(Map.of("hot", 190.0), receiver.getLocalPort());
-            DemandReport report = DemandReport.getDefaultInstance();
-            while (report.getWorkspacesCount() == 0) {
-                DatagramPacket packet =
-                        new DatagramPacket(new byte[FORMER_BUFFER_BYTES], FORMER_BUFFER_BYTES);
-                receiver.receive(packet);
-                byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
-                report = InstanceMessage.parseFrom(bytes).getDemandReport();
-            }
-            assertFalse(report.getIncomplete());
+            assertFalse(receiveAsFormerBuild(receiver).getIncomplete());
         }
     }
+
+    /** Returns the first report with a workspace; fails if a datagram before it was cut. */
+    private static DemandReport receiveAsFormerBuild(DatagramSocket receiver) throws Exception {
+        receiver.setSoTimeout(10_000);
+        DemandReport report = DemandReport.getDefaultInstance();
+        while (report.getWorkspacesCount() == 0) {
+            DatagramPacket packet =
+                    new DatagramPacket(new byte[FORMER_BUFFER_BYTES], FORMER_BUFFER_BYTES);
+            receiver.receive(packet);
+            byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
+            report = InstanceMessage.parseFrom(bytes).getDemandReport();
+        }
+        return report;
+    }
 }
