Read up to 16 datagrams for each wake-up again

Cause: Netty reads one datagram for each pass of the event loop when a receive buffer allocator is set explicitly; its default for datagrams is 16.

Change: 16 datagrams for each wake-up, as before. The buffer stays at 8 KiB.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerChannel.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerChannel.java
@@ -35,10 +35,10 @@
     /** The longest datagram that every build reads whole, in bytes. */
     public static final int MAX_DATAGRAM_BYTES = MessageFragments.MAX_DATAGRAM_BYTES;
 
-    // Builds that know no fragments send longer messages in one datagram. Each datagram is read
-    // into
-    // a buffer of this size; larger ones cost so much processor time that leases lapse.
+    // Builds that know no fragments send longer messages in one datagram.
     private static final int RECEIVE_BUFFER_BYTES = 8_192;
+    // A receive buffer that is set explicitly would read one datagram for each wake-up.
+    private static final int MAX_DATAGRAMS_PER_READ = 16;
 
     private final Channel mChannel;
     private final MessageFragments mFragments;
@@ -53,7 +53,8 @@
                         .option(ChannelOption.AUTO_READ, false)
                         .option(
                                 ChannelOption.RECVBUF_ALLOCATOR,
-                                new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
+                                new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES)
+                                        .maxMessagesPerRead(MAX_DATAGRAMS_PER_READ))
                         .handler(new ChannelInboundHandlerAdapter())
                         .bind(SocketAddresses.parse(localAddress + ":" + port))
                         .syncUninterruptibly()
