Give each statement an urgency, each pool a room, and name what a configuration calls for

Change: Urgency, ServerRoom, WorkKind and ContentionPolicy in the engine; the pool reports the begin and the end of each statement to its room, which is unlimited for now.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -239,7 +239,11 @@
             mOperationStartNanos = mTraffic.broker().now();
             next.accept(
                     new OperationContext(
-                            granted.workspace(), granted.route(), mSessionState, mPositions));
+                            granted.workspace(),
+                            granted.route(),
+                            mSessionState,
+                            mPositions,
+                            mOperationStartNanos));
             return;
         }
         refuse(request, (Admission.Refused) admission);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionRequest.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionRequest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.DatabaseRoute;
+import org.plantainferry.engine.scheduling.Urgency;
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
 import org.plantainferry.engine.sessionstate.SessionState;
 
@@ -16,7 +17,8 @@
  * @param sessionState the session values and prepared statements
  * @param requiredDefinition the prepared statement that the first statement executes, if any
  * @param sessionPosition the log position of the last commit of the session
- * @param arrivedNanos when the operation arrived
+ * @param arrivedNanos when the statement arrived
+ * @param urgency how urgent the statement is
  * @param deadlineNanos the time after which a connection is useless
  * @param hedge whether the statement has already been sent to another server, so that the request
  *     is refused when no other candidate exists
@@ -30,5 +32,6 @@
         Optional<PreparedStatementDefinition> requiredDefinition,
         Optional<LogPosition> sessionPosition,
         long arrivedNanos,
+        Urgency urgency,
         long deadlineNanos,
         boolean hedge) {}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.plantainferry.engine.catalog.DatabaseRoute;
 import org.plantainferry.engine.freshness.TimedPosition;
+import org.plantainferry.engine.scheduling.Urgency;
 import org.plantainferry.engine.sessionstate.SessionState;
 
 /**
@@ -70,6 +71,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 now,
+                Urgency.ofInstance(NO_WORKSPACE, now, now),
                 now,
                 false);
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryPositionSampler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryPositionSampler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.plantainferry.engine.freshness.TimedPosition;
+import org.plantainferry.engine.scheduling.Urgency;
 import org.plantainferry.gateway.statement.Statement;
 
 /**
@@ -94,6 +95,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         now,
+                        Urgency.ofInstance(mRequest.workspace(), now, now + DEADLINE_NANOS),
                         now + DEADLINE_NANOS,
                         false);
         mBroker.acquire(request, new HashSet<>(), result -> onAcquired(result, done));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -1,7 +1,6 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.capacity.ServerRoom;
+import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.connection.ConnectionBackoff;
 import org.plantainferry.engine.placement.ConnectionAvailability;
@@ -38,40 +39,18 @@
     // Shorter idle times get a timer for each connection; the periodic cleanup handles longer ones.
     private static final long SHORT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    /** Holds a request that waits for a connection. */
-    private static final class Waiter {
-        private final String mWorkspace;
-        private final SessionState mSessionState;
-        private final Optional<PreparedStatementDefinition> mRequiredDefinition;
-        private final Consumer<PooledConnectionResult> mCallback;
-        private final long mWaitingSinceNanos;
-        private ScheduledFuture<?> mTimeout;
-
-        Waiter(
-                String workspace,
-                SessionState sessionState,
-                Optional<PreparedStatementDefinition> requiredDefinition,
-                long sinceNanos,
-                Consumer<PooledConnectionResult> callback) {
-            mWaitingSinceNanos = sinceNanos;
-            mWorkspace = workspace;
-            mSessionState = sessionState;
-            mRequiredDefinition = requiredDefinition;
-            mCallback = callback;
-        }
-    }
-
     private final EventLoop mLoop;
     private final WireFormat mFormat;
     private final String mLocalAddress;
     private final LongSupplier mClock;
     private CatalogServer mServer;
     private final ServerHealth mHealth;
+    private final ServerRoom mRoom;
     private final TrafficMetrics mMetrics;
     private final Random mRandom = new Random();
     private final List<ServerConnection> mConnections = new ArrayList<>();
     private final List<ServerConnection> mIdleConnections = new ArrayList<>();
-    private final Deque<Waiter> mWaiters = new ArrayDeque<>();
+    private final Deque<ConnectionWaiter> mWaiters = new ArrayDeque<>();
     private final Map<String, Integer> mOpeningByWorkspace = new HashMap<>();
     private final ConnectionBackoff mConnectionBackoff = new ConnectionBackoff();
     private boolean mBackoffTimerScheduled;
@@ -93,6 +72,7 @@
             LongSupplier clock,
             CatalogServer server,
             ServerHealth health,
+            ServerRoom room,
             TrafficMetrics metrics) {
         mLoop = loop;
         mFormat = format;
@@ -100,6 +80,7 @@
         mClock = clock;
         mServer = server;
         mHealth = health;
+        mRoom = room;
         mMetrics = metrics;
         updateLeavingSince();
     }
@@ -125,6 +106,32 @@
         return mHealth;
     }
 
+    /** Records that a statement was sent over a connection of this pool. */
+    void onStatementSent(WorkKind kind, long nowNanos) {
+        mHealth.onStatementSent();
+        mRoom.onSent(kind, nowNanos);
+    }
+
+    /** Records the end of a statement for which {@link #onStatementSent} was called. */
+    void onStatementEnded(WorkKind kind, ServerReply reply, long elapsedNanos) {
+        mHealth.onStatementEnded();
+        mRoom.onEnded(kind, outcome(reply), elapsedNanos, mClock.getAsLong());
+    }
+
+    private static ServerRoom.Outcome outcome(ServerReply reply) {
+        if (reply.isDone()) {
+            return ServerRoom.Outcome.ANSWERED;
+        }
+        return reply.isFailed() && reply.code() == FailureCode.BUSY
+                ? ServerRoom.Outcome.BUSY
+                : ServerRoom.Outcome.FAILED;
+    }
+
+    /** Returns how many statements of this instance the server has room for. */
+    ServerRoom room() {
+        return mRoom;
+    }
+
     /** Applies a new catalog entry of the same server process. */
     void update(CatalogServer server) {
         if (server.primary() != mServer.primary()) {
@@ -242,15 +249,15 @@
             callback.accept(PooledConnectionResult.granted(idle.get()));
             return;
         }
-        Waiter waiter =
-                new Waiter(
+        ConnectionWaiter waiter =
+                new ConnectionWaiter(
                         workspace, sessionState, requiredDefinition, mClock.getAsLong(), callback);
         mWaiters.addLast(waiter);
-        waiter.mTimeout =
+        waiter.setTimeout(
                 mLoop.schedule(
                         () -> reject(waiter, "no connection was free in time"),
                         timeoutMillis,
-                        TimeUnit.MILLISECONDS);
+                        TimeUnit.MILLISECONDS));
         openForWaiters();
     }
 
@@ -273,10 +280,9 @@
         return best;
     }
 
-    private void reject(Waiter waiter, String reason) {
+    private void reject(ConnectionWaiter waiter, String reason) {
         if (mWaiters.remove(waiter)) {
-            waiter.mTimeout.cancel(false);
-            waiter.mCallback.accept(PooledConnectionResult.refused(reason));
+            waiter.accept(PooledConnectionResult.refused(reason));
         }
     }
 
@@ -325,7 +331,7 @@
                 .map(
                         waiter ->
                                 new ConnectionOpeningPolicy.WaitingRequest(
-                                        waiter.mWorkspace, now - waiter.mWaitingSinceNanos))
+                                        waiter.workspace(), now - waiter.waitingSinceNanos()))
                 .toList();
     }
 
@@ -409,7 +415,7 @@
     }
 
     private void rejectAll(String reason) {
-        for (Waiter waiter : List.copyOf(mWaiters)) {
+        for (ConnectionWaiter waiter : List.copyOf(mWaiters)) {
             reject(waiter, reason);
         }
     }
@@ -441,13 +447,13 @@
     }
 
     private void serveWaiters() {
-        for (Waiter waiter : List.copyOf(mWaiters)) {
+        for (ConnectionWaiter waiter : List.copyOf(mWaiters)) {
             Optional<ServerConnection> idle =
-                    takeIdle(waiter.mWorkspace, waiter.mSessionState, waiter.mRequiredDefinition);
+                    takeIdle(
+                            waiter.workspace(), waiter.sessionState(), waiter.requiredDefinition());
             if (idle.isPresent()) {
                 mWaiters.remove(waiter);
-                waiter.mTimeout.cancel(false);
-                waiter.mCallback.accept(PooledConnectionResult.granted(idle.get()));
+                waiter.accept(PooledConnectionResult.granted(idle.get()));
             }
         }
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.capacity.UnlimitedServerRoom;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.engine.evacuation.EvacuatedDomains;
@@ -146,7 +147,14 @@
         }
         ServerConnectionPool pool =
                 new ServerConnectionPool(
-                        mLoop, mFormat, mLocalAddress, mClock, server, health, mMetrics);
+                        mLoop,
+                        mFormat,
+                        mLocalAddress,
+                        mClock,
+                        server,
+                        health,
+                        new UnlimitedServerRoom(),
+                        mMetrics);
         pools.put(server.id(), pool);
         return pool;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -84,6 +84,8 @@
     private void attempt(boolean hedge) {
         mAttempts++;
         mPendingAttempts++;
+        long placementDeadline =
+                StatementTimeouts.placementDeadline(mContext.route(), mArrivedNanos);
         ConnectionRequest request =
                 new ConnectionRequest(
                         mRequestId,
@@ -94,7 +96,8 @@
                         mStatement.definition(),
                         mContext.positions().of(mContext.route().service()),
                         mArrivedNanos,
-                        StatementTimeouts.placementDeadline(mContext.route(), mArrivedNanos),
+                        mContext.urgency(placementDeadline),
+                        placementDeadline,
                         hedge);
         mBroker.acquire(request, mExcluded, this::onAcquired);
     }
@@ -129,7 +132,7 @@
         mUnansweredSends++;
         long sent = mBroker.now();
         mLastSentNanos = sent;
-        prepared.pool().health().onStatementSent();
+        prepared.pool().onStatementSent(mContext.workKind(mStatement), sent);
         mBroker.send(
                 prepared,
                 mPurpose,
@@ -144,7 +147,7 @@
         mPendingAttempts--;
         mUnansweredSends--;
         long now = mBroker.now();
-        prepared.pool().health().onStatementEnded();
+        prepared.pool().onStatementEnded(mContext.workKind(mStatement), reply, now - sentNanos);
         if (reply.isDone()) {
             prepared.pool().health().onAnswer(now, now - sentNanos);
             reply.position()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -132,6 +132,8 @@
 
     private void acquire(PendingStatement pending) {
         mAttempts++;
+        long placementDeadline =
+                StatementTimeouts.placementDeadline(mContext.route(), mStatementStartNanos);
         ConnectionRequest request =
                 new ConnectionRequest(
                         pending.mRequestId,
@@ -142,7 +144,8 @@
                         pending.mStatement.definition(),
                         mContext.positions().of(mContext.route().service()),
                         mStatementStartNanos,
-                        StatementTimeouts.placementDeadline(mContext.route(), mStatementStartNanos),
+                        mContext.urgency(placementDeadline),
+                        placementDeadline,
                         false);
         mBroker.acquire(request, mExcluded, result -> onAcquired(pending, result));
     }
@@ -205,7 +208,7 @@
         }
         pending.mSent = true;
         long sent = mBroker.now();
-        prepared.pool().health().onStatementSent();
+        prepared.pool().onStatementSent(mContext.workKind(pending.mStatement), sent);
         mBroker.send(
                 prepared,
                 mPurpose,
@@ -231,7 +234,8 @@
             long sentNanos,
             ServerReply reply) {
         long now = mBroker.now();
-        prepared.pool().health().onStatementEnded();
+        prepared.pool()
+                .onStatementEnded(mContext.workKind(pending.mStatement), reply, now - sentNanos);
         if (mEnded || pending.mFinished) {
             return;
         }
