Let settings compare the learned room and the hosts with what was before

Cause: each way that is weighed has to be measured against the others. Change: experimental.serverRoom and experimental.statementHosts; each name of the section may now be left out. Result: nothing reads the two settings yet; the modules up to platform build.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -87,6 +87,11 @@
         return mFile.has(name) ? Optional.of(wholeNumber(name)) : Optional.empty();
     }
 
+    private String optionalText(String name, String fallback) {
+        mReadNames.add(name);
+        return mFile.has(name) ? text(name) : fallback;
+    }
+
     private ExperimentalSettings experimental() {
         mReadNames.add("experimental");
         JsonNode section = mFile.get("experimental");
@@ -97,7 +102,12 @@
             throw invalid("experimental must be an object");
         }
         GatewaySettingsReader reader = new GatewaySettingsReader(section);
-        ExperimentalSettings settings = new ExperimentalSettings(reader.text("storeFollowing"));
+        ExperimentalSettings none = ExperimentalSettings.NONE;
+        ExperimentalSettings settings =
+                new ExperimentalSettings(
+                        reader.optionalText("storeFollowing", none.storeFollowing()),
+                        reader.optionalText("serverRoom", none.serverRoom()),
+                        reader.optionalText("statementHosts", none.statementHosts()));
         reader.rejectUnknown();
         return settings;
     }
