--- a/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServerRequestQueue.java
+++ b/plantainferry-daemon/src/main/java/org/plantainferry/daemon/traffic/ServerRequestQueue.java
@@ -34,7 +34,7 @@
     private final TargetConnector mConnector;
     private final LongSupplier mClock;
     private final Handler mHandler;
-    private final FairQueue<PendingRequest> mWaitingRequests =
+    private final FairQueue<WorkspaceName, PendingRequest> mWaitingRequests =
             new FairQueue<>(MAX_QUEUED_REQUESTS, INITIAL_INTERVAL_NANOS);
     private final ConnectionPoolState<TargetConnection> mConnections;
     private final ConcurrencyLimit mConcurrencyLimit;
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/FairQueue.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/FairQueue.java
@@ -9,7 +9,6 @@
 import java.util.PriorityQueue;
 import java.util.function.Predicate;
 import org.plantainferry.api.Preconditions;
-import org.plantainferry.api.WorkspaceName;
 
 /**
  * Orders waiting requests by weighted fair queueing among workspaces.
@@ -18,10 +17,11 @@
  * Each request costs 1/weight of virtual time. Only the head of each workspace has a finish time,
  * so removing requests and changing weights leaves the order of the others unchanged.
  *
+ * @param <K> the type of the names of workspaces
  * @param <T> the type of the requests
  * @since 0.1
  */
-public final class FairQueue<T> {
+public final class FairQueue<K extends Comparable<? super K>, T> {
     /** The maximum number of waiting requests of one workspace. */
     public static final int MAXIMUM_WAITING_PER_WORKSPACE = 64;
 
@@ -30,12 +30,10 @@
 
     private final int mTotalLimit;
     private final ServiceIntervalEstimator mInterval;
-    private final Map<WorkspaceName, WorkspaceQueue<T>> mQueues = new HashMap<>();
-    private final Map<WorkspaceName, Double> mWeights = new HashMap<>();
-    private final PriorityQueue<WorkspaceQueue<T>> mNonEmptyQueues =
-            new PriorityQueue<>(
-                    Comparator.<WorkspaceQueue<T>>comparingDouble(WorkspaceQueue::headFinish)
-                            .thenComparing(WorkspaceQueue::workspace));
+    private final Map<K, WorkspaceQueue<K, T>> mQueues = new HashMap<>();
+    private final Map<K, Double> mWeights = new HashMap<>();
+    private final PriorityQueue<WorkspaceQueue<K, T>> mNonEmptyQueues =
+            new PriorityQueue<>(FairQueue.<K, T>order());
     private final List<T> mExpired = new ArrayList<>();
     private double mVirtualTime;
     private int mSize;
@@ -53,13 +51,18 @@
         mInterval = new ServiceIntervalEstimator(intervalNanos);
     }
 
+    private static <K extends Comparable<? super K>, T> Comparator<WorkspaceQueue<K, T>> order() {
+        return Comparator.<WorkspaceQueue<K, T>>comparingDouble(WorkspaceQueue::headFinish)
+                .thenComparing(WorkspaceQueue::workspace);
+    }
+
     /** Sets the weight of a workspace, which is 1 by default; waiting requests keep their order. */
-    public void setWeight(WorkspaceName workspace, double weight) {
+    public void setWeight(K workspace, double weight) {
         Preconditions.notNull(workspace, "workspace");
         Preconditions.condition(
                 weight > 0 && Double.isFinite(weight), "weight must be positive: " + weight);
         mWeights.put(workspace, weight);
-        WorkspaceQueue<T> queue = mQueues.get(workspace);
+        WorkspaceQueue<K, T> queue = mQueues.get(workspace);
         if (queue != null) {
             mNonEmptyQueues.remove(queue);
             queue.setWeight(weight);
@@ -68,18 +71,17 @@
     }
 
     /** Removes the weight of a workspace that no longer exists. */
-    public void removeWeight(WorkspaceName workspace) {
+    public void removeWeight(K workspace) {
         setWeight(workspace, 1);
         mWeights.remove(workspace);
     }
 
     /** Adds a request, or refuses it if a limit is reached or it cannot be served in time. */
-    public OfferResult<T> offer(
-            WorkspaceName workspace, T request, long deadlineNanos, long nowNanos) {
+    public OfferResult<T> offer(K workspace, T request, long deadlineNanos, long nowNanos) {
         Preconditions.notNull(workspace, "workspace");
         Preconditions.notNull(request, "request");
         long remaining = deadlineNanos - nowNanos;
-        WorkspaceQueue<T> queue = mQueues.get(workspace);
+        WorkspaceQueue<K, T> queue = mQueues.get(workspace);
         if (queue != null && queue.size() >= MAXIMUM_WAITING_PER_WORKSPACE) {
             collectExpired(nowNanos);
         }
@@ -102,10 +104,63 @@
                 return refused(OfferResult.Reason.TOTAL_LIMIT, mInterval.untilNextNanos(nowNanos));
             }
         }
-        add(workspace, request, deadlineNanos, nowNanos);
+        addWaiting(workspace, request, deadlineNanos, nowNanos);
         return new OfferResult.Queued<>(displaced);
     }
 
+    /**
+     * Adds a request without a check of limits and waits, for a caller that bounds several queues
+     * together.
+     */
+    public void add(K workspace, T request, long deadlineNanos, long nowNanos) {
+        Preconditions.notNull(workspace, "workspace");
+        Preconditions.notNull(request, "request");
+        addWaiting(workspace, request, deadlineNanos, nowNanos);
+    }
+
+    /**
+     * Returns the request that {@link #poll(long, Predicate)} would return, without removing it.
+     */
+    public Optional<T> peek(long nowNanos, Predicate<? super T> condition) {
+        Preconditions.notNull(condition, "condition");
+        List<WorkspaceQueue<K, T>> queues = new ArrayList<>(mNonEmptyQueues);
+        queues.sort(mNonEmptyQueues.comparator());
+        for (WorkspaceQueue<K, T> queue : queues) {
+            Optional<T> found =
+                    queue.findFirst(
+                            waiting ->
+                                    !waiting.isExpired(nowNanos)
+                                            && condition.test(waiting.request()));
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Removes and returns the last request of a workspace. */
+    public Optional<T> removeLast(K workspace) {
+        WorkspaceQueue<K, T> queue = mQueues.get(workspace);
+        if (queue == null || queue.isEmpty()) {
+            return Optional.empty();
+        }
+        T last = removeLastOf(queue);
+        resetIfEmpty();
+        return Optional.of(last);
+    }
+
+    /** Returns the waiting requests, those of each workspace in order of arrival. */
+    public List<T> waiting() {
+        List<T> waiting = new ArrayList<>(mSize);
+        mNonEmptyQueues.forEach(queue -> queue.addAllTo(waiting));
+        return waiting;
+    }
+
+    /** Returns the names of the workspaces that have waiting requests. */
+    public List<K> workspaces() {
+        return mNonEmptyQueues.stream().map(WorkspaceQueue::workspace).toList();
+    }
+
     /** Removes and returns the next request that has not expired. */
     public Optional<T> poll(long nowNanos) {
         return poll(nowNanos, request -> true);
@@ -120,10 +175,10 @@
      */
     public Optional<T> poll(long nowNanos, Predicate<? super T> condition) {
         Preconditions.notNull(condition, "condition");
-        List<WorkspaceQueue<T>> visited = new ArrayList<>();
+        List<WorkspaceQueue<K, T>> visited = new ArrayList<>();
         Optional<T> taken = Optional.empty();
         while (taken.isEmpty() && !mNonEmptyQueues.isEmpty()) {
-            WorkspaceQueue<T> queue = mNonEmptyQueues.poll();
+            WorkspaceQueue<K, T> queue = mNonEmptyQueues.poll();
             mSize -= queue.removeExpiredHeads(nowNanos, mExpired);
             double finish = queue.headFinish();
             taken =
@@ -160,18 +215,23 @@
     }
 
     /** Returns the estimated wait of a new request of the workspace, in nanoseconds. */
-    public long estimatedWaitNanos(WorkspaceName workspace, long nowNanos) {
-        if (mSize == 0) {
-            return 0;
-        }
-        WorkspaceQueue<T> own = mQueues.get(workspace);
+    public long estimatedWaitNanos(K workspace, long nowNanos) {
+        return mSize == 0
+                ? 0
+                : requestsAhead(workspace) * mInterval.intervalNanos()
+                        + mInterval.untilNextNanos(nowNanos);
+    }
+
+    /** Returns how many waiting requests would be polled before a new one of the workspace. */
+    public long requestsAhead(K workspace) {
+        WorkspaceQueue<K, T> own = mQueues.get(workspace);
         double finish =
                 own == null ? mVirtualTime + 1 / weight(workspace) : own.nextFinish(mVirtualTime);
         long requestsAhead = 0;
-        for (WorkspaceQueue<T> queue : mNonEmptyQueues) {
+        for (WorkspaceQueue<K, T> queue : mNonEmptyQueues) {
             requestsAhead += queue.countUntil(finish);
         }
-        return requestsAhead * mInterval.intervalNanos() + mInterval.untilNextNanos(nowNanos);
+        return requestsAhead;
     }
 
     /** Returns the number of waiting requests. */
@@ -180,13 +240,13 @@
     }
 
     /** Returns the number of waiting requests of a workspace. */
-    public int size(WorkspaceName workspace) {
-        WorkspaceQueue<T> queue = mQueues.get(workspace);
+    public int size(K workspace) {
+        WorkspaceQueue<K, T> queue = mQueues.get(workspace);
         return queue == null ? 0 : queue.size();
     }
 
-    private void add(WorkspaceName workspace, T request, long deadlineNanos, long nowNanos) {
-        WorkspaceQueue<T> queue =
+    private void addWaiting(K workspace, T request, long deadlineNanos, long nowNanos) {
+        WorkspaceQueue<K, T> queue =
                 mQueues.computeIfAbsent(
                         workspace, name -> new WorkspaceQueue<>(name, weight(name)));
         if (mSize == 0) {
@@ -200,9 +260,9 @@
         mSize++;
     }
 
-    private Optional<T> displaceLongestQueue(WorkspaceName workspace) {
-        WorkspaceQueue<T> longest = null;
-        for (WorkspaceQueue<T> queue : mNonEmptyQueues) {
+    private Optional<T> displaceLongestQueue(K workspace) {
+        WorkspaceQueue<K, T> longest = null;
+        for (WorkspaceQueue<K, T> queue : mNonEmptyQueues) {
             if (longest == null || queue.normalizedSize(0) > longest.normalizedSize(0)) {
                 longest = queue;
             }
@@ -213,11 +273,15 @@
                 || own > longest.normalizedSize(-1)) {
             return Optional.empty();
         }
-        mNonEmptyQueues.remove(longest);
-        T displaced = longest.removeLast().request();
+        return Optional.of(removeLastOf(longest));
+    }
+
+    private T removeLastOf(WorkspaceQueue<K, T> queue) {
+        mNonEmptyQueues.remove(queue);
+        T last = queue.removeLast().request();
         mSize--;
-        addIfNotEmpty(longest);
-        return Optional.of(displaced);
+        addIfNotEmpty(queue);
+        return last;
     }
 
     private void collectExpired(long nowNanos) {
@@ -226,16 +290,16 @@
 
     private void removeRequests(
             Predicate<WorkspaceQueue.WaitingRequest<T>> condition, List<T> removed) {
-        List<WorkspaceQueue<T>> queues = new ArrayList<>(mNonEmptyQueues);
+        List<WorkspaceQueue<K, T>> queues = new ArrayList<>(mNonEmptyQueues);
         mNonEmptyQueues.clear();
-        for (WorkspaceQueue<T> queue : queues) {
+        for (WorkspaceQueue<K, T> queue : queues) {
             mSize -= queue.removeIf(condition, removed);
             addIfNotEmpty(queue);
         }
         resetIfEmpty();
     }
 
-    private void addIfNotEmpty(WorkspaceQueue<T> queue) {
+    private void addIfNotEmpty(WorkspaceQueue<K, T> queue) {
         if (!queue.isEmpty()) {
             mNonEmptyQueues.add(queue);
         }
@@ -250,13 +314,13 @@
         mVirtualTime = 0;
     }
 
-    private double weight(WorkspaceName workspace) {
+    private double weight(K workspace) {
         return mWeights.getOrDefault(workspace, 1.0);
     }
 
-    private long workspaceIntervalNanos(WorkspaceQueue<T> queue, long nowNanos) {
+    private long workspaceIntervalNanos(WorkspaceQueue<K, T> queue, long nowNanos) {
         double activeWeight = 0;
-        for (WorkspaceQueue<T> active : mNonEmptyQueues) {
+        for (WorkspaceQueue<K, T> active : mNonEmptyQueues) {
             activeWeight += active.weight();
         }
         double weightRatio = activeWeight / queue.weight();
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ServiceIntervalEstimator.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ServiceIntervalEstimator.java
@@ -1,7 +1,11 @@
 package org.plantainferry.engine.admission;
 
-/** Estimates the time between two requests that leave a non-empty queue. */
-final class ServiceIntervalEstimator {
+/**
+ * Estimates the time between two requests that leave a non-empty queue.
+ *
+ * @since 0.4
+ */
+public final class ServiceIntervalEstimator {
     /** The weight of a new sample; effectively, about the last 20 samples count. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
@@ -15,18 +19,19 @@
     private boolean mBusy;
     private long mBusySinceNanos;
 
-    ServiceIntervalEstimator(long intervalNanos) {
+    /** Creates an estimator with an initial estimate. */
+    public ServiceIntervalEstimator(long intervalNanos) {
         mIntervalNanos = intervalNanos;
     }
 
     /** Records that the queue is no longer empty. */
-    void onBusy(long nowNanos) {
+    public void onBusy(long nowNanos) {
         mBusy = true;
         mBusySinceNanos = nowNanos;
     }
 
     /** Records a served request; an interval counts only if the queue was non-empty throughout. */
-    void onServed(long nowNanos, boolean stillBusy) {
+    public void onServed(long nowNanos, boolean stillBusy) {
         if (mBusy && stillBusy) {
             double sample =
                     Math.min(
@@ -39,7 +44,7 @@
     }
 
     /** Returns the estimated time between two requests, in nanoseconds. */
-    long intervalNanos() {
+    public long intervalNanos() {
         return Math.max(1, (long) mIntervalNanos);
     }
 
@@ -48,12 +53,12 @@
      *
      * <p>During a stall, the remaining time is assumed to equal the time already elapsed.
      */
-    long untilNextNanos(long nowNanos) {
+    public long untilNextNanos(long nowNanos) {
         return mBusy ? Math.max(intervalNanos(), nowNanos - mBusySinceNanos) : intervalNanos();
     }
 
     /** Records that the queue became empty without serving a request. */
-    void onIdle() {
+    public void onIdle() {
         mBusy = false;
     }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/WorkspaceQueue.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/WorkspaceQueue.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.plantainferry.api.WorkspaceName;
 
 /**
  * Contains the waiting requests of one workspace and tracks the virtual finish time of the first.
+ *
+ * @param <K> the type of the names of workspaces
+ * @param <T> the type of the requests
  */
-final class WorkspaceQueue<T> {
+final class WorkspaceQueue<K, T> {
     /** Contains a waiting request with its deadline. */
     record WaitingRequest<T>(T request, long deadlineNanos) {
         boolean isExpired(long nowNanos) {
@@ -22,19 +24,19 @@
     /** Tolerates rounding errors of sums of 1/weight when comparing finish times. */
     private static final double ROUNDING_TOLERANCE = 1e-9;
 
-    private final WorkspaceName mWorkspace;
+    private final K mWorkspace;
     private final Deque<WaitingRequest<T>> mRequests = new ArrayDeque<>();
     private double mWeight;
 
     /** The virtual start time of the head, or the finish time of the last request if empty. */
     private double mVirtualStart;
 
-    WorkspaceQueue(WorkspaceName workspace, double weight) {
+    WorkspaceQueue(K workspace, double weight) {
         mWorkspace = workspace;
         mWeight = weight;
     }
 
-    WorkspaceName workspace() {
+    K workspace() {
         return mWorkspace;
     }
 
@@ -81,6 +83,16 @@
         mRequests.addLast(request);
     }
 
+    /** Returns the first request that matches, without removing it. */
+    Optional<T> findFirst(Predicate<WaitingRequest<T>> condition) {
+        for (WaitingRequest<T> request : mRequests) {
+            if (condition.test(request)) {
+                return Optional.of(request.request());
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Removes the first request that matches and charges its cost to the workspace. */
     Optional<T> removeFirst(Predicate<WaitingRequest<T>> condition) {
         for (Iterator<WaitingRequest<T>> iterator = mRequests.iterator(); iterator.hasNext(); ) {
@@ -104,6 +116,10 @@
         return count;
     }
 
+    void addAllTo(List<T> requests) {
+        mRequests.forEach(waiting -> requests.add(waiting.request()));
+    }
+
     WaitingRequest<T> removeLast() {
         return mRequests.removeLast();
     }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/scheduling/Urgency.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/scheduling/Urgency.java
@@ -1,5 +1,6 @@
 package org.plantainferry.engine.scheduling;
 
+import java.util.Comparator;
 import org.plantainferry.api.Preconditions;
 
 /**
@@ -33,4 +34,14 @@
     public boolean isLate(long nowNanos) {
         return objectiveNanos - nowNanos < 0;
     }
+
+    /**
+     * Returns an order in which what can still be in time is first, by priority and then by what is
+     * left of the objective.
+     */
+    public static Comparator<Urgency> mostUrgentFirst(long nowNanos) {
+        return Comparator.<Urgency, Boolean>comparing(urgency -> urgency.isLate(nowNanos))
+                .thenComparingInt(Urgency::priority)
+                .thenComparingLong(urgency -> urgency.objectiveNanos() - nowNanos);
+    }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/admission/FairQueueTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/admission/FairQueueTest.java
@@ -35,7 +35,7 @@
 
     /** Returns how many requests of each of 8 workspaces are served in 20 s. */
     private Map<WorkspaceName, Integer> countServed(int floodFactor) {
-        FairQueue<WorkspaceName> queue = new FairQueue<>(256, MILLI);
+        FairQueue<WorkspaceName, WorkspaceName> queue = new FairQueue<>(256, MILLI);
         Map<WorkspaceName, Integer> served = new HashMap<>();
         for (int tick = 0; tick < 20_000; tick++) {
             long now = tick * MILLI;
@@ -69,14 +69,14 @@
     /** Backlogged workspaces must be served in proportion to their weights, even after a change. */
     @Test
     public void sharesFollowWeights() {
-        FairQueue<WorkspaceName> queue = new FairQueue<>(1_000, 1);
+        FairQueue<WorkspaceName, WorkspaceName> queue = new FairQueue<>(1_000, 1);
         queue.setWeight(A, 3);
         assertEquals(countServedOfA(queue, 40), 30);
         queue.setWeight(A, 1);
         assertEquals(countServedOfA(queue, 40), 20);
     }
 
-    private int countServedOfA(FairQueue<WorkspaceName> queue, int polls) {
+    private int countServedOfA(FairQueue<WorkspaceName, WorkspaceName> queue, int polls) {
         int first = 0;
         for (int i = 0; i < polls; i++) {
             while (queue.size(A) < 5) {
@@ -93,7 +93,7 @@
     /** The queue of a workspace must be bounded; a refusal has a retry time and did not run. */
     @Test
     public void refusesBeyondWorkspaceLimit() {
-        FairQueue<Integer> queue = new FairQueue<>(1_000, MILLI);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(1_000, MILLI);
         for (int i = 0; i < FairQueue.MAXIMUM_WAITING_PER_WORKSPACE; i++) {
             assertTrue(isQueued(queue.offer(A, i, SECOND, 0)));
         }
@@ -109,7 +109,7 @@
     /** At the total limit, a request of a short queue must displace one of the longest queue. */
     @Test
     public void displacesFromLongestQueueAtTotalLimit() {
-        FairQueue<String> queue = new FairQueue<>(4, 1);
+        FairQueue<WorkspaceName, String> queue = new FairQueue<>(4, 1);
         for (int i = 0; i < 4; i++) {
             queue.offer(A, "a" + i, SECOND, 0);
         }
@@ -122,7 +122,7 @@
     /** Only requests that would wait past their deadline must be refused at once. */
     @Test
     public void refusesWhenWaitExceedsDeadline() {
-        FairQueue<Integer> queue = new FairQueue<>(1_000, 10 * MILLI);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(1_000, 10 * MILLI);
         for (int i = 0; i < 20; i++) {
             assertTrue(isQueued(queue.offer(A, i, SECOND, 0)));
         }
@@ -135,7 +135,7 @@
     /** A single stall, such as a change of primary, must not cause refusals afterwards. */
     @Test
     public void recoversTheEstimateAfterASingleStall() {
-        FairQueue<Integer> queue = new FairQueue<>(1_000, MILLI);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(1_000, MILLI);
         for (int i = 0; i < 30; i++) {
             queue.offer(A, i, 10 * SECOND, 0);
         }
@@ -146,7 +146,7 @@
     /** Expired requests must not be served, and each must be returned once. */
     @Test
     public void removesExpiredRequestsOnce() {
-        FairQueue<Integer> queue = new FairQueue<>(10, 1);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(10, 1);
         queue.offer(A, 1, MILLI, 0);
         queue.offer(A, 2, SECOND, 0);
         queue.offer(B, 3, MILLI, 0);
@@ -160,7 +160,7 @@
     /** Requests of a withdrawn key must be removable, and writes must not delay reads. */
     @Test
     public void removesMatchingRequests() {
-        FairQueue<Integer> queue = new FairQueue<>(10, 1);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(10, 1);
         for (int i = 0; i < 6; i++) {
             queue.offer(i < 3 ? A : B, i, SECOND, 0);
         }
@@ -175,7 +175,7 @@
     /** Each request must leave the queue exactly once, for any sequence of operations. */
     @Test
     public void removesEachRequestOnceInRandomHistories() {
-        FairQueue<Integer> queue = new FairQueue<>(40, MILLI);
+        FairQueue<WorkspaceName, Integer> queue = new FairQueue<>(40, MILLI);
         List<Integer> entered = new ArrayList<>();
         List<Integer> left = new ArrayList<>();
         for (int i = 0; i < 50_000; i++) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -130,6 +130,11 @@
             6307,
             Logger.Level.WARN,
             "answer-mismatched server=%s workspace=%s statement=%s reason=\"%s\""),
+    /** Statements were refused because they could not be served by a server in time. */
+    STATEMENTS_REFUSED(
+            6310,
+            Logger.Level.INFO,
+            "statements-refused server=%s early=%s displaced=%s expired=%s waiting=%s"),
     /** An unexpected error occurred; the process continues. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -454,6 +454,7 @@
     private void releaseResources() {
         stopIdleTimer();
         mQueue.clear();
+        mRunningStatement.ifPresent(RunningStatement::onCallerLeft);
         if (mTransaction != null) {
             mTransaction.rollBack();
             mTransaction = null;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
@@ -40,6 +40,9 @@
     private final Consumer<PreparedConnectionResult> mCallback;
     private final ServerGroup mGroup;
     private String mLastReason = "no server is known";
+    private Optional<Long> mRetryAfterBacklogMillis = Optional.empty();
+    private Optional<Runnable> mCancellation = Optional.empty();
+    private boolean mCancelled;
 
     ConnectionAcquisition(
             ConnectionBroker broker,
@@ -61,6 +64,27 @@
         }
     }
 
+    /**
+     * Ends the wait for a server or a connection, without a call of the callback. An acquisition
+     * that has its connection goes on, and hands it over.
+     */
+    void cancel() {
+        mCancelled = true;
+        mCancellation.ifPresent(Runnable::run);
+        mCancellation = Optional.empty();
+    }
+
+    /** Runs a step at the next event or after a pause, unless the deadline passes until then. */
+    private void await(long millis, long retryAfterMillis, Runnable step) {
+        if (remainingMillis() <= millis) {
+            refuse(retryAfterMillis);
+            return;
+        }
+        PlacementWaitingList.Entry entry =
+                mBroker.waitingList().await(mRequest.urgency(), millis, step);
+        mCancellation = Optional.of(() -> mBroker.waitingList().cancel(entry));
+    }
+
     private long remainingMillis() {
         return TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - mBroker.now());
     }
@@ -72,6 +96,9 @@
     }
 
     private void acquireAtPrimary() {
+        if (mCancelled) {
+            return;
+        }
         if (remainingMillis() <= 0) {
             refuse(RETRY_AFTER_NO_PRIMARY_MILLIS);
             return;
@@ -88,7 +115,7 @@
         if (primary.isEmpty() || primary.get().health().isAvoided(mBroker.now())) {
             mLastReason = primary.isEmpty() ? "no primary is known" : "the primary does not answer";
             primary.ifPresent(mBroker::reportSuspectedPrimary);
-            mBroker.schedule(PRIMARY_POLL_MILLIS, this::acquireAtPrimary);
+            await(PRIMARY_POLL_MILLIS, RETRY_AFTER_NO_PRIMARY_MILLIS, this::acquireAtPrimary);
             return;
         }
         acquireFromPool(primary.get(), Optional.empty());
@@ -120,8 +147,11 @@
     }
 
     private void acquireForRead() {
+        if (mCancelled) {
+            return;
+        }
         if (remainingMillis() <= 0) {
-            refuse(RETRY_AFTER_BUSY_MILLIS);
+            refuse(mRetryAfterBacklogMillis.orElse(RETRY_AFTER_BUSY_MILLIS));
             return;
         }
         if (mGroup.isWhollyEvacuated()) {
@@ -152,7 +182,7 @@
     }
 
     private void awaitPrimaryPosition() {
-        if (mGroup.awaitRunningSample(this::acquireForRead)) {
+        if (mGroup.awaitRunningSample(mRequest.urgency(), this::acquireForRead)) {
             return;
         }
         mLastReason = "the position of the primary is not known";
@@ -185,12 +215,12 @@
     }
 
     private void onSampleEnded(boolean taken) {
-        mGroup.endSample();
+        mGroup.endSample(mBroker.now());
         if (taken) {
             acquireForRead();
             return;
         }
-        mBroker.schedule(PRIMARY_POLL_MILLIS, this::acquireForRead);
+        await(PRIMARY_POLL_MILLIS, RETRY_AFTER_NO_PRIMARY_MILLIS, this::acquireForRead);
     }
 
     private void chooseReadServer(Optional<LogPosition> required) {
@@ -205,11 +235,15 @@
             mCallback.accept(PreparedConnectionResult.refused("no other server can answer", 0));
             return;
         }
+        if (pool.isEmpty() && mRetryAfterBacklogMillis.isPresent()) {
+            refuseWithoutRoom();
+            return;
+        }
         if (pool.isEmpty()) {
             // Every server has refused or lags behind; retry all of them after a pause.
             mLastReason = "every server refused the statement or lacks its position";
             mExcluded.clear();
-            mBroker.schedule(NO_CANDIDATE_RETRY_MILLIS, this::acquireForRead);
+            await(NO_CANDIDATE_RETRY_MILLIS, RETRY_AFTER_BUSY_MILLIS, this::acquireForRead);
             return;
         }
         // Another attempt for the same statement must not choose the same server.
@@ -218,12 +252,11 @@
     }
 
     private void acquireFromPool(ServerConnectionPool pool, Optional<LogPosition> required) {
-        pool.acquire(
-                mRequest.workspace(),
-                mRequest.sessionState(),
-                mRequest.requiredDefinition(),
-                Math.max(1, remainingMillis()),
-                answer -> onAcquired(pool, required, answer));
+        ConnectionWaiter waiter =
+                pool.acquire(mRequest, answer -> onAcquired(pool, required, answer));
+        if (!waiter.isEnded()) {
+            mCancellation = Optional.of(() -> pool.cancel(waiter));
+        }
     }
 
     private void onAcquired(
@@ -232,6 +265,7 @@
             PooledConnectionResult answer) {
         if (answer.connection().isEmpty()) {
             mLastReason = answer.reason();
+            answer.retryAfterMillis().ifPresent(this::recordBacklog);
             if (mRequest.purpose().isAtPrimary() && pool.health().failures() > 0) {
                 mBroker.reportSuspectedPrimary(pool);
             }
@@ -243,10 +277,28 @@
                         pool, answer.connection().get(), required, Optional.empty()));
     }
 
+    private void recordBacklog(long retryAfterMillis) {
+        mRetryAfterBacklogMillis =
+                Optional.of(
+                        Math.min(
+                                retryAfterMillis, mRetryAfterBacklogMillis.orElse(Long.MAX_VALUE)));
+    }
+
+    /** Refuses because too much waits at the servers, which logs a sum of such refusals. */
+    private void refuseWithoutRoom() {
+        mCallback.accept(
+                PreparedConnectionResult.refused(mLastReason, mRetryAfterBacklogMillis.get()));
+    }
+
     /** Continues with another server for a read, and with the primary after a pause otherwise. */
     private void tryNextServer(ServerConnectionPool pool) {
-        if (mRequest.purpose().isAtPrimary()) {
-            mBroker.schedule(PRIMARY_POLL_MILLIS, this::acquireAtPrimary);
+        boolean isAtPrimary = mRequest.purpose().isAtPrimary();
+        if (isAtPrimary && mRetryAfterBacklogMillis.isPresent()) {
+            refuseWithoutRoom();
+            return;
+        }
+        if (isAtPrimary) {
+            await(PRIMARY_POLL_MILLIS, RETRY_AFTER_NO_PRIMARY_MILLIS, this::acquireAtPrimary);
             return;
         }
         acquireForRead();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
@@ -30,6 +30,7 @@
     private final Supplier<SuspectedPrimaryListener> mSuspectedPrimaryListener;
     private final PeerPositionSource mPeerPositions;
     private final PrimaryLeaseGuard mLeaseGuard;
+    private final PlacementWaitingList mWaitingList;
 
     ConnectionBroker(
             EventLoop loop,
@@ -46,19 +47,28 @@
         mSuspectedPrimaryListener = suspectedPrimaryListener;
         mPeerPositions = peerPositions;
         mLeaseGuard = leaseGuard;
+        mWaitingList = new PlacementWaitingList(loop, clock);
     }
 
     /**
-     * Acquires a connection. The callback runs once.
+     * Acquires a connection. The callback runs once, unless the acquisition is cancelled.
      *
      * @param excluded the servers that have already refused the statement; this call adds to the
      *     set, and clears it when no server is left
      */
-    void acquire(
+    ConnectionAcquisition acquire(
             ConnectionRequest request,
             Set<String> excluded,
             Consumer<PreparedConnectionResult> callback) {
-        new ConnectionAcquisition(this, request, excluded, callback).start();
+        ConnectionAcquisition acquisition =
+                new ConnectionAcquisition(this, request, excluded, callback);
+        acquisition.start();
+        return acquisition;
+    }
+
+    /** Returns the requests for which no server can be chosen yet. */
+    PlacementWaitingList waitingList() {
+        return mWaitingList;
     }
 
     ServerGroup group(String service) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionWaiter.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionWaiter.java
@@ -1,62 +1,44 @@
 package org.plantainferry.gateway.traffic;
 
-import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Optional;
 import java.util.function.Consumer;
-import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
-import org.plantainferry.engine.sessionstate.SessionState;
 
-/** Holds a request that waits for a connection. */
+/** Holds a request for a connection of a pool until it has its result. */
 final class ConnectionWaiter {
-    private final String mWorkspace;
-    private final SessionState mSessionState;
-    private final Optional<PreparedStatementDefinition> mRequiredDefinition;
-    private final long mWaitingSinceNanos;
+    private final ConnectionRequest mRequest;
     private final Consumer<PooledConnectionResult> mCallback;
-    private ScheduledFuture<?> mTimeout;
+    private boolean mEnded;
 
     /**
-     * Creates a waiting request.
+     * Creates a request that has no result yet.
      *
      * @param callback receives the connection, or the reason why there is none
      */
-    ConnectionWaiter(
-            String workspace,
-            SessionState sessionState,
-            Optional<PreparedStatementDefinition> requiredDefinition,
-            long waitingSinceNanos,
-            Consumer<PooledConnectionResult> callback) {
-        mWorkspace = workspace;
-        mSessionState = sessionState;
-        mRequiredDefinition = requiredDefinition;
-        mWaitingSinceNanos = waitingSinceNanos;
+    ConnectionWaiter(ConnectionRequest request, Consumer<PooledConnectionResult> callback) {
+        mRequest = request;
         mCallback = callback;
     }
 
-    String workspace() {
-        return mWorkspace;
-    }
-
-    SessionState sessionState() {
-        return mSessionState;
+    ConnectionRequest request() {
+        return mRequest;
     }
 
-    Optional<PreparedStatementDefinition> requiredDefinition() {
-        return mRequiredDefinition;
+    String workspace() {
+        return mRequest.workspace();
     }
 
-    long waitingSinceNanos() {
-        return mWaitingSinceNanos;
+    /** Returns whether the request has a result, or needs none any more. */
+    boolean isEnded() {
+        return mEnded;
     }
 
-    /** Sets the timer that ends the wait. */
-    void setTimeout(ScheduledFuture<?> timeout) {
-        mTimeout = timeout;
+    /** Ends the request without a result. */
+    void cancel() {
+        mEnded = true;
     }
 
-    /** Ends the wait with a result. */
+    /** Ends the request with a result. */
     void accept(PooledConnectionResult result) {
-        mTimeout.cancel(false);
+        mEnded = true;
         mCallback.accept(result);
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
@@ -48,12 +48,14 @@
             mCallback.accept(known);
             return;
         }
-        if (mGroup.awaitRunningSample(this::respond)) {
+        Urgency urgency = request().urgency();
+        if (mGroup.awaitRunningSample(urgency, this::respond)) {
             return;
         }
         mGroup.beginSample();
-        mGroup.awaitRunningSample(this::respond);
-        new PrimaryPositionSampler(mBroker, request(), mGroup).start(taken -> mGroup.endSample());
+        mGroup.awaitRunningSample(urgency, this::respond);
+        new PrimaryPositionSampler(mBroker, request(), mGroup)
+                .start(taken -> mGroup.endSample(mBroker.now()));
     }
 
     private void respond() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/RunningStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/RunningStatement.java
@@ -9,4 +9,7 @@
      * server did not answer in time.
      */
     void abandon(String reason);
+
+    /** Ends the statement if it was not sent yet, because its caller has closed the session. */
+    default void onCallerLeft() {}
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
@@ -68,6 +68,7 @@
     private boolean mMismatched;
     private boolean mHasUnconfirmedRefusal;
     private long mIdleSinceNanos;
+    private boolean mAwaitingStatement;
 
     ServerConnection(
             WireFormat format, CatalogServer server, String workspace, TrafficMetrics metrics) {
@@ -81,6 +82,10 @@
         return mServer;
     }
 
+    String workspace() {
+        return mWorkspace;
+    }
+
     boolean isForWorkspace(String workspace) {
         return mWorkspace.equals(workspace);
     }
@@ -101,6 +106,15 @@
         mIdleSinceNanos = nanos;
     }
 
+    /** Returns whether the connection is granted for a statement that was not sent yet. */
+    boolean isAwaitingStatement() {
+        return mAwaitingStatement;
+    }
+
+    void setAwaitingStatement(boolean awaiting) {
+        mAwaitingStatement = awaiting;
+    }
+
     void setCloseCallback(Runnable action) {
         mCloseCallback = action;
     }
@@ -178,6 +192,7 @@
             callback.accept(ServerReply.lost("the connection is closed"));
             return;
         }
+        mAwaitingStatement &= requestId.isEmpty();
         mPendingStatements.addLast(new PendingStatement(statement, callback));
         write(mFormat.statement(requestId, required, statement));
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -1,27 +1,25 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.plantainferry.engine.capacity.ServerRoom;
 import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.connection.ConnectionBackoff;
 import org.plantainferry.engine.placement.ConnectionAvailability;
-import org.plantainferry.engine.placement.ConnectionOpeningPolicy;
 import org.plantainferry.engine.placement.ServerHealth;
-import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
-import org.plantainferry.engine.sessionstate.SessionState;
+import org.plantainferry.engine.scheduling.DispatchState;
+import org.plantainferry.engine.scheduling.WaitingSnapshot;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.gateway.statement.FailureCode;
 
@@ -29,10 +27,13 @@
  * Pools the connections of this instance to one server.
  *
  * <p>A connection belongs to one workspace. At the connection limit, the least recently used idle
- * connection is closed to make room; without one, requests wait in order of arrival. Not
+ * connection is closed to make room. Requests wait in a {@link WaiterDispatcher} for a connection,
+ * and for room at the server: statements in progress, granted connections whose statement is not
+ * sent yet and connections that are being opened are together at most as many as {@link ServerRoom}
+ * permits. A transaction keeps its connection, so its statements do not wait again. Not
  * thread-safe: used by the traffic thread only.
  */
-final class ServerConnectionPool {
+final class ServerConnectionPool implements WaiterDispatcher.Connections {
     private static final long REFUSED_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final int MAX_CONCURRENT_OPENS = 2;
     private static final String EVACUATED = "the failure domain of the server is evacuated";
@@ -50,11 +51,10 @@
     private final Random mRandom = new Random();
     private final List<ServerConnection> mConnections = new ArrayList<>();
     private final List<ServerConnection> mIdleConnections = new ArrayList<>();
-    private final Deque<ConnectionWaiter> mWaiters = new ArrayDeque<>();
-    private final Map<String, Integer> mOpeningByWorkspace = new HashMap<>();
+    private final Set<ServerConnection> mGrantedConnections = new HashSet<>();
+    private final WaiterDispatcher mWaiters;
     private final ConnectionBackoff mConnectionBackoff = new ConnectionBackoff();
     private boolean mBackoffTimerScheduled;
-    private int mOpeningCount;
     private int mLimit = 1;
     private long mMaxIdleNanos = Long.MAX_VALUE;
     private int mRefusedLimit;
@@ -82,6 +82,7 @@
         mHealth = health;
         mRoom = room;
         mMetrics = metrics;
+        mWaiters = new WaiterDispatcher(loop, clock, server.id(), this);
         updateLeavingSince();
     }
 
@@ -116,6 +117,8 @@
     void onStatementEnded(WorkKind kind, ServerReply reply, long elapsedNanos) {
         mHealth.onStatementEnded();
         mRoom.onEnded(kind, outcome(reply), elapsedNanos, mClock.getAsLong());
+        // The caller of this method has yet to release the connection.
+        mWaiters.dispatchSoon();
     }
 
     private static ServerRoom.Outcome outcome(ServerReply reply) {
@@ -162,7 +165,7 @@
         if (acceptsStatements()) {
             return;
         }
-        rejectAll(EVACUATED);
+        mWaiters.rejectAll(EVACUATED);
         for (ServerConnection connection : List.copyOf(mIdleConnections)) {
             connection.close(EVACUATED);
         }
@@ -225,114 +228,121 @@
         return newest;
     }
 
+    /** Returns the numbers of waiting statements and of those that were refused. */
+    WaitingSnapshot waitingSnapshot() {
+        return mWaiters.snapshot();
+    }
+
     int waiters() {
         return mWaiters.size();
     }
 
     /**
-     * Acquires a connection, waiting for one if necessary. The callback runs once, with a refusal
-     * when the wait exceeds {@code timeoutMillis}.
+     * Acquires a connection, waiting for one if necessary. The callback runs once, unless the
+     * request is cancelled, with a refusal if the request cannot be served before its deadline.
      */
-    void acquire(
-            String workspace,
-            SessionState sessionState,
-            Optional<PreparedStatementDefinition> requiredDefinition,
-            long timeoutMillis,
-            Consumer<PooledConnectionResult> callback) {
+    ConnectionWaiter acquire(ConnectionRequest request, Consumer<PooledConnectionResult> callback) {
+        ConnectionWaiter waiter = new ConnectionWaiter(request, callback);
         if (mClosed || !acceptsStatements()) {
-            callback.accept(
+            waiter.accept(
                     PooledConnectionResult.refused(mClosed ? "the server is gone" : EVACUATED));
-            return;
+            return waiter;
         }
-        Optional<ServerConnection> idle = takeIdle(workspace, sessionState, requiredDefinition);
+        // Room that the end of a statement has left belongs to those who wait already.
+        boolean hasRoom = !mWaiters.isDispatchScheduled() && inProgress() < limit();
+        Optional<ServerConnection> idle = hasRoom ? takeIdle(request) : Optional.empty();
         if (idle.isPresent()) {
-            callback.accept(PooledConnectionResult.granted(idle.get()));
-            return;
+            grant(waiter, idle.get());
+        } else {
+            mWaiters.offer(waiter, mRoom.serviceNanos(workKind(request)));
         }
-        ConnectionWaiter waiter =
-                new ConnectionWaiter(
-                        workspace, sessionState, requiredDefinition, mClock.getAsLong(), callback);
-        mWaiters.addLast(waiter);
-        waiter.setTimeout(
-                mLoop.schedule(
-                        () -> reject(waiter, "no connection was free in time"),
-                        timeoutMillis,
-                        TimeUnit.MILLISECONDS));
-        openForWaiters();
-    }
-
-    private Optional<ServerConnection> takeIdle(
-            String workspace,
-            SessionState sessionState,
-            Optional<PreparedStatementDefinition> requiredDefinition) {
+        return waiter;
+    }
+
+    /** Ends a request that is of no use any more. Does nothing if it has ended. */
+    void cancel(ConnectionWaiter waiter) {
+        mWaiters.cancel(waiter);
+    }
+
+    private static WorkKind workKind(ConnectionRequest request) {
+        boolean isWrite = request.purpose() == ConnectionPurpose.WRITE;
+        return new WorkKind(
+                request.route().database(), isWrite ? WorkKind.Step.WRITE : WorkKind.Step.READ);
+    }
+
+    private int limit() {
+        return mRoom.limit(mClock.getAsLong());
+    }
+
+    private int inProgress() {
+        mGrantedConnections.removeIf(connection -> !connection.isAwaitingStatement());
+        return mRoom.inFlight() + mGrantedConnections.size() + mWaiters.openings();
+    }
+
+    private void grant(ConnectionWaiter waiter, ServerConnection connection) {
+        connection.setAwaitingStatement(true);
+        mGrantedConnections.add(connection);
+        waiter.accept(PooledConnectionResult.granted(connection));
+    }
+
+    @Override
+    public DispatchState dispatchState() {
+        mIdleConnections.removeIf(connection -> !connection.isOpen());
+        Set<String> idleWorkspaces =
+                mIdleConnections.stream()
+                        .map(ServerConnection::workspace)
+                        .collect(Collectors.toSet());
+        int connections = mConnections.size();
+        int limit = effectiveLimit();
+        boolean hasPlace = connections < limit || !mIdleConnections.isEmpty();
+        return new DispatchState(
+                inProgress(),
+                limit(),
+                idleWorkspaces,
+                hasPlace && mWaiters.openings() < MAX_CONCURRENT_OPENS && isBackoffOver(),
+                connections >= limit);
+    }
+
+    @Override
+    public void grant(ConnectionWaiter waiter) {
+        grant(waiter, takeIdle(waiter.request()).orElseThrow());
+    }
+
+    private Optional<ServerConnection> takeIdle(ConnectionRequest request) {
         mIdleConnections.removeIf(connection -> !connection.isOpen());
         Optional<ServerConnection> best =
                 mIdleConnections.stream()
-                        .filter(connection -> connection.isForWorkspace(workspace))
+                        .filter(connection -> connection.isForWorkspace(request.workspace()))
                         .min(
                                 Comparator.comparingInt(
                                         connection ->
                                                 connection
                                                         .state()
                                                         .countSetupSteps(
-                                                                sessionState, requiredDefinition)));
+                                                                request.sessionState(),
+                                                                request.requiredDefinition())));
         best.ifPresent(mIdleConnections::remove);
         return best;
     }
 
-    private void reject(ConnectionWaiter waiter, String reason) {
-        if (mWaiters.remove(waiter)) {
-            waiter.accept(PooledConnectionResult.refused(reason));
-        }
-    }
-
     private int effectiveLimit() {
         boolean isLimited = mClock.getAsLong() - mRefusedLimitEndNanos < 0;
         return isLimited ? Math.max(1, Math.min(mLimit, mRefusedLimit)) : mLimit;
     }
 
-    private void openForWaiters() {
-        if (!mWaiters.isEmpty() && mConnectionBackoff.remainingNanos(mClock.getAsLong()) > 0) {
-            openAfterBackoff();
-            return;
-        }
-        while (mOpeningCount < MAX_CONCURRENT_OPENS) {
-            Optional<String> workspace =
-                    ConnectionOpeningPolicy.choose(waitingRequests(), mOpeningByWorkspace);
-            boolean hasPlace =
-                    mConnections.size() < effectiveLimit() || !mIdleConnections.isEmpty();
-            if (workspace.isEmpty() || !hasPlace) {
-                return;
-            }
-            if (mConnections.size() >= effectiveLimit()) {
-                closeLeastRecentlyUsed();
-            }
-            open(workspace.get());
-        }
-    }
-
-    private void openAfterBackoff() {
-        if (mBackoffTimerScheduled) {
-            return;
+    private boolean isBackoffOver() {
+        long remaining = mConnectionBackoff.remainingNanos(mClock.getAsLong());
+        if (remaining > 0 && !mBackoffTimerScheduled) {
+            mBackoffTimerScheduled = true;
+            mLoop.schedule(
+                    () -> {
+                        mBackoffTimerScheduled = false;
+                        mWaiters.dispatch();
+                    },
+                    remaining,
+                    TimeUnit.NANOSECONDS);
         }
-        mBackoffTimerScheduled = true;
-        mLoop.schedule(
-                () -> {
-                    mBackoffTimerScheduled = false;
-                    openForWaiters();
-                },
-                mConnectionBackoff.remainingNanos(mClock.getAsLong()),
-                TimeUnit.NANOSECONDS);
-    }
-
-    private List<ConnectionOpeningPolicy.WaitingRequest> waitingRequests() {
-        long now = mClock.getAsLong();
-        return mWaiters.stream()
-                .map(
-                        waiter ->
-                                new ConnectionOpeningPolicy.WaitingRequest(
-                                        waiter.workspace(), now - waiter.waitingSinceNanos()))
-                .toList();
+        return remaining <= 0;
     }
 
     private void closeLeastRecentlyUsed() {
@@ -343,11 +353,13 @@
                                 connection.close("its place is needed for another workspace"));
     }
 
-    private void open(String workspace) {
+    @Override
+    public void open(String workspace) {
+        while (mConnections.size() >= effectiveLimit() && !mIdleConnections.isEmpty()) {
+            closeLeastRecentlyUsed();
+        }
         ServerConnection connection = new ServerConnection(mFormat, mServer, workspace, mMetrics);
         mConnections.add(connection);
-        mOpeningCount++;
-        mOpeningByWorkspace.merge(workspace, 1, Integer::sum);
         mMetrics.onConnectionOpening();
         connection.setCloseCallback(() -> onClosed(connection));
         long started = mClock.getAsLong();
@@ -376,28 +388,27 @@
                 connection.close("the server is not reached directly");
             }
         }
-        openForWaiters();
+        mWaiters.dispatch();
     }
 
     private void onClosed(ServerConnection connection) {
         mIdleConnections.remove(connection);
+        mGrantedConnections.remove(connection);
         if (mConnections.remove(connection) && !mClosed) {
-            mLoop.execute(this::openForWaiters);
+            mWaiters.dispatchSoon();
         }
     }
 
     private void onOpened(
             ServerConnection connection, String workspace, long startedNanos, ServerReply reply) {
-        mOpeningCount--;
-        mOpeningByWorkspace.computeIfPresent(
-                workspace, (key, count) -> count > 1 ? count - 1 : null);
         long now = mClock.getAsLong();
         if (reply.isDone()) {
             mConnectionBackoff.onOpened();
             mHealth.onOpened(now, now - startedNanos);
-            release(connection);
+            useOpened(connection, mWaiters.onOpened(workspace));
             return;
         }
+        mWaiters.onOpeningFailed(workspace);
         mMetrics.onConnectionFailed();
         if (!reply.isLost() && reply.code() == FailureCode.TOO_MANY_CONNECTIONS) {
             mRefusedLimit = Math.max(1, mConnections.size() - 1);
@@ -408,22 +419,27 @@
         }
         boolean hasNoAlternative = mConnections.isEmpty() || mHealth.isAvoided(now);
         if (hasNoAlternative) {
-            rejectAll(reply.text());
+            mWaiters.rejectAll(reply.text());
         } else {
-            openForWaiters();
+            mWaiters.dispatch();
         }
     }
 
-    private void rejectAll(String reason) {
-        for (ConnectionWaiter waiter : List.copyOf(mWaiters)) {
-            reject(waiter, reason);
+    private void useOpened(ServerConnection connection, Optional<ConnectionWaiter> waiter) {
+        if (waiter.isEmpty() || mClosed || !acceptsStatements()) {
+            release(connection);
+            waiter.ifPresent(refused -> refused.accept(PooledConnectionResult.refused(EVACUATED)));
+            return;
         }
+        grant(waiter.get(), connection);
+        mWaiters.dispatch();
     }
 
     /**
      * Takes back a connection without open work on the server. An unusable connection is closed.
      */
     void release(ServerConnection connection) {
+        mGrantedConnections.remove(connection);
         boolean isUsable =
                 connection.isOpen()
                         && !connection.hasPendingStatements()
@@ -439,23 +455,10 @@
         if (hasScarceConnections()) {
             mLoop.schedule(this::closeIdle, mMaxIdleNanos, TimeUnit.NANOSECONDS);
         }
-        serveWaiters();
+        mWaiters.dispatch();
         if (mConnections.size() > effectiveLimit()) {
             closeLeastRecentlyUsed();
         }
-        openForWaiters();
-    }
-
-    private void serveWaiters() {
-        for (ConnectionWaiter waiter : List.copyOf(mWaiters)) {
-            Optional<ServerConnection> idle =
-                    takeIdle(
-                            waiter.workspace(), waiter.sessionState(), waiter.requiredDefinition());
-            if (idle.isPresent()) {
-                mWaiters.remove(waiter);
-                waiter.accept(PooledConnectionResult.granted(idle.get()));
-            }
-        }
     }
 
     /** Closes connections that have been idle for as long as the plan allows. */
@@ -471,7 +474,7 @@
     /** Closes the pool and its idle connections. Connections in use are closed on release. */
     void close() {
         mClosed = true;
-        rejectAll("the server is gone");
+        mWaiters.rejectAll("the server is gone");
         for (ServerConnection connection : List.copyOf(mIdleConnections)) {
             connection.close("the server is gone");
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.plantainferry.engine.freshness.PositionSamples;
 import org.plantainferry.engine.placement.ReadCandidate;
 import org.plantainferry.engine.placement.ReadPlacement;
+import org.plantainferry.engine.scheduling.Urgency;
 
 /**
  * Holds the traffic state of one server group: its connection pools, position samples and primary.
@@ -21,13 +23,16 @@
 final class ServerGroup {
     private final Map<String, ServerConnectionPool> mPools = new HashMap<>();
     private final PositionSamples mSamples = new PositionSamples();
-    private final List<Runnable> mSampleWaiters = new ArrayList<>();
+    private final List<SampleWaiter> mSampleWaiters = new ArrayList<>();
     private boolean mSampling;
     private final long mLeavingPrimaryNanos;
     private final Predicate<String> mMayUseAsPrimary;
     private String mPrimary = "";
     private String mPreferredReplica = "";
 
+    /** Holds an action that runs when the sample in progress ends. */
+    private record SampleWaiter(Urgency urgency, Runnable action) {}
+
     /**
      * Creates a group without servers.
      *
@@ -121,14 +126,14 @@
     }
 
     /**
-     * Registers an action to run when the sample in progress ends. Returns false, without
-     * registering it, when no sample is in progress.
+     * Registers an action to run when the sample in progress ends, the most urgent first. Returns
+     * false, without registering it, when no sample is in progress.
      */
-    boolean awaitRunningSample(Runnable action) {
+    boolean awaitRunningSample(Urgency urgency, Runnable action) {
         if (!mSampling) {
             return false;
         }
-        mSampleWaiters.add(action);
+        mSampleWaiters.add(new SampleWaiter(urgency, action));
         return true;
     }
 
@@ -136,10 +141,12 @@
         mSampling = true;
     }
 
-    void endSample() {
+    void endSample(long nowNanos) {
         mSampling = false;
-        List<Runnable> waiters = List.copyOf(mSampleWaiters);
+        List<SampleWaiter> waiters = new ArrayList<>(mSampleWaiters);
         mSampleWaiters.clear();
-        waiters.forEach(Runnable::run);
+        waiters.sort(
+                Comparator.comparing(SampleWaiter::urgency, Urgency.mostUrgentFirst(nowNanos)));
+        waiters.forEach(waiter -> waiter.action().run());
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -1,7 +1,9 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -32,12 +34,14 @@
     private final long mDeadlineNanos;
     private final ConnectionPurpose mPurpose;
     private final Set<String> mExcluded = new HashSet<>();
+    private final List<ConnectionAcquisition> mAcquisitions = new ArrayList<>(1);
     private PreparedConnection mLastSentOn;
     private long mLastSentNanos;
     private int mAttempts;
     private int mPendingAttempts;
     private int mUnansweredSends;
     private boolean mFinished;
+    private boolean mCallerLeft;
     private boolean mMayHaveRun;
     private ScheduledFuture<?> mDeadlineTimer;
     private Optional<ScheduledFuture<?>> mHedgeTimer = Optional.empty();
@@ -99,7 +103,7 @@
                         mContext.urgency(placementDeadline),
                         placementDeadline,
                         hedge);
-        mBroker.acquire(request, mExcluded, this::onAcquired);
+        mAcquisitions.add(mBroker.acquire(request, mExcluded, this::onAcquired));
     }
 
     private void onAcquired(PreparedConnectionResult result) {
@@ -170,7 +174,7 @@
     private void onFailure(PreparedConnection prepared, ServerReply reply, long now) {
         mMayHaveRun |= !reply.isNotRun();
         mLastReason = reply.isLost() ? reply.text() : reply.code() + " " + reply.text();
-        boolean mayRepeat = reply.isNotRun() || !mStatement.writes();
+        boolean mayRepeat = !mCallerLeft && (reply.isNotRun() || !mStatement.writes());
         if (mayRepeat && mAttempts < MAX_ATTEMPTS && now - mDeadlineNanos < 0) {
             GatewayEvent.REQUEST_RETRIED.log(
                     mRequestId, prepared.pool().server().id(), mAttempts, mLastReason);
@@ -263,6 +267,14 @@
         end(reason, 0);
     }
 
+    @Override
+    public void onCallerLeft() {
+        mCallerLeft = true;
+        if (mUnansweredSends == 0) {
+            end("the caller has left", 0);
+        }
+    }
+
     /**
      * Ends the statement without an answer.
      *
@@ -289,6 +301,7 @@
         mFinished = true;
         mDeadlineTimer.cancel(false);
         mHedgeTimer.ifPresent(hedge -> hedge.cancel(false));
+        mAcquisitions.forEach(ConnectionAcquisition::cancel);
         mCallback.accept(result);
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -174,7 +174,11 @@
 
     /** Applies a new view asynchronously. Safe to call from any thread. */
     public void onFleetView(FleetView view) {
-        mLoop.execute(() -> mGroups.applyView(view));
+        mLoop.execute(
+                () -> {
+                    mGroups.applyView(view);
+                    mBroker.waitingList().wake();
+                });
     }
 
     /** Records the demand that another instance reported. Safe to call from any thread. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -31,6 +31,7 @@
     private final ConnectionPurpose mPurpose;
     private final Set<String> mExcluded = new HashSet<>();
     private Optional<PreparedConnection> mConnection = Optional.empty();
+    private Optional<ConnectionAcquisition> mAcquisition = Optional.empty();
     private int mAttempts;
     private boolean mHasRun;
     private boolean mHasWritten;
@@ -77,6 +78,7 @@
             return;
         }
         mEnded = true;
+        mAcquisition.ifPresent(ConnectionAcquisition::cancel);
         mConnection.ifPresent(
                 prepared -> {
                     if (prepared.connection().hasPendingStatements()) {
@@ -147,7 +149,9 @@
                         mContext.urgency(placementDeadline),
                         placementDeadline,
                         false);
-        mBroker.acquire(request, mExcluded, result -> onAcquired(pending, result));
+        mAcquisition =
+                Optional.of(
+                        mBroker.acquire(request, mExcluded, result -> onAcquired(pending, result)));
     }
 
     private void onAcquired(PendingStatement pending, PreparedConnectionResult result) {
