Share the additive and multiplicative limit between the daemon and the learned room

Cause: ConcurrencyLimit is about to get a sibling that adapts a limit by other signals. Change: AdaptiveLimit holds what both do: grow by addition, shrink by a factor at most once in an interval, stay between 1 and a maximum. The behaviour of ConcurrencyLimit is unchanged.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ConcurrencyLimit.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/admission/ConcurrencyLimit.java
@@ -1,6 +1,7 @@
 package org.plantainferry.engine.admission;
 
 import org.plantainferry.api.Preconditions;
+import org.plantainferry.engine.capacity.AdaptiveLimit;
 
 /**
  * Limits the requests in flight to one server and adapts the limit to the capacity of the server.
@@ -35,16 +36,13 @@
     /** The minimum latency is replaced after this time, because the kind of load changes. */
     private static final long BASELINE_PERIOD_NANOS = 30_000_000_000L;
 
-    private double mMaximum;
-    private double mLimit;
+    private final AdaptiveLimit mLimit;
     private int mInFlight;
     private double mMeanLatencyNanos;
     private double mMinimumLatencyNanos = Double.MAX_VALUE;
     private double mNextMinimumLatencyNanos = Double.MAX_VALUE;
     private boolean mHasSamples;
     private long mBaselineSinceNanos;
-    private boolean mDecreased;
-    private long mDecreasedAtNanos;
 
     /**
      * Creates a limit that starts at its maximum.
@@ -53,15 +51,12 @@
      */
     public ConcurrencyLimit(int maximum) {
         Preconditions.condition(maximum >= 1, "maximum must be at least 1: " + maximum);
-        mMaximum = maximum;
-        mLimit = maximum;
+        mLimit = new AdaptiveLimit(maximum, maximum);
     }
 
     /** Sets a new maximum; requests in flight beyond it are not cancelled. */
     public void setMaximum(int maximum) {
-        Preconditions.condition(maximum >= 1, "maximum must be at least 1: " + maximum);
-        mMaximum = maximum;
-        mLimit = Math.min(mLimit, maximum);
+        mLimit.setMaximum(maximum);
     }
 
     /** Acquires a permit for a request, or returns false if the limit is reached. */
@@ -91,14 +86,14 @@
                     && mInFlight > 0) {
                 decrease(LATENCY_DECREASE_FACTOR, nowNanos);
             } else if (full) {
-                mLimit = Math.min(mMaximum, mLimit + 1 / mLimit);
+                mLimit.grow(1);
             }
         }
     }
 
     /** Returns the number of requests that may be in flight now. */
     public int limit() {
-        return (int) mLimit;
+        return mLimit.value();
     }
 
     /** Returns the number of requests in flight. */
@@ -123,11 +118,6 @@
     }
 
     private void decrease(double factor, long nowNanos) {
-        if (mDecreased && nowNanos - mDecreasedAtNanos < MINIMUM_DECREASE_INTERVAL_NANOS) {
-            return;
-        }
-        mDecreased = true;
-        mDecreasedAtNanos = nowNanos;
-        mLimit = Math.max(1, mLimit * factor);
+        mLimit.shrink(factor, MINIMUM_DECREASE_INTERVAL_NANOS, nowNanos);
     }
 }
