--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/ServerRoom.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/ServerRoom.java
@@ -1,5 +1,7 @@
 package org.plantainferry.engine.capacity;
 
+import java.util.Optional;
+
 /**
  * Tells how many statements of this instance may be in progress at one server.
  *
@@ -35,4 +37,33 @@
      * statement waits there behind others, in nanoseconds.
      */
     long serviceNanos(WorkKind kind);
+
+    /**
+     * Returns the time until the answer to a statement of a kind that is sent now, including the
+     * usual wait at the server, in nanoseconds.
+     */
+    default long expectedNanos(WorkKind kind, long nowNanos) {
+        return serviceNanos(kind);
+    }
+
+    /**
+     * Returns whether the beliefs about the server are old, because nothing has been in progress
+     * there for some time.
+     */
+    default boolean isStale(long nowNanos) {
+        return false;
+    }
+
+    /** Returns what the server is believed to take; empty when nothing is learned about it. */
+    default Optional<ServerCapacity> snapshot() {
+        return Optional.empty();
+    }
+
+    /**
+     * Returns what the server is believed to take, if that has changed much since this method last
+     * returned it.
+     */
+    default Optional<ServerCapacity> takeChange(long nowNanos) {
+        return Optional.empty();
+    }
 }
