Place reads by the learned time for their kind of work

Cause: ReadPlacement adds up a latency in which kinds of work and waits are mixed, and never asks a server again that looked slow: a server that got long reads lost its short ones, and one that had recovered got nothing for seconds. ConnectionRequest carries the kind of the statement.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/placement/ReadPlacement.java
@@ -1,10 +1,12 @@
 package org.plantainferry.engine.placement;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.plantainferry.api.Preconditions;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.capacity.WorkKind;
 
 /**
  * Selects the server of a read by its estimated cost.
@@ -28,46 +30,80 @@
     private static final double NON_PREFERRED_COST_MILLIS = 3;
     private static final double WAITING_REQUEST_WEIGHT = 2;
     private static final double AVOIDED_COST_MILLIS = 10_000;
+    private static final double PROBED_FRACTION = 0.05;
+    private static final double PROBE_SAFETY_FACTOR = 1.5;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final String mFailureDomain;
+    private final ReadTimeEstimate mEstimate;
+
+    /** Holds a candidate with the estimated time of the read there, and its cost. */
+    private record Valued(ReadCandidate candidate, double readMillis, double cost) {}
 
     /** Creates the placement for an instance in the given failure domain. */
-    public ReadPlacement(String failureDomain) {
+    public ReadPlacement(String failureDomain, ReadTimeEstimate estimate) {
         mFailureDomain = Preconditions.notNull(failureDomain, "failureDomain");
+        mEstimate = Preconditions.notNull(estimate, "estimate");
     }
 
     /**
      * Selects the candidate with the lowest cost.
      *
-     * @param required the log position that the read requires; empty when data of any age is
-     *     acceptable
-     * @param excluded the ids of servers that have already refused this read
+     * <p>A small share of the reads goes to a server that would be preferred if it were as fast as
+     * the others, and about which nothing new is known.
+     *
+     * @param random a uniform random number from 0 (inclusive) to 1 (exclusive), which differs
+     *     between instances so that they do not probe a server at the same time
      * @return the candidate; empty when every server is excluded, leaving or known to be behind
      */
     public Optional<ReadCandidate> choose(
-            Collection<ReadCandidate> candidates,
-            Optional<LogPosition> required,
-            Set<String> excluded,
-            long nowNanos) {
+            Collection<ReadCandidate> candidates, ReadDemand demand, double random, long nowNanos) {
         // A leaving server is skipped even if all others are busy or behind.
         boolean canSkipLeaving =
                 candidates.stream().anyMatch(candidate -> !candidate.server().draining());
-        ReadCandidate best = null;
-        double bestCost = Double.MAX_VALUE;
+        List<ReadCandidate> usable = new ArrayList<>(candidates.size());
         for (ReadCandidate candidate : candidates) {
             boolean isSkipped = canSkipLeaving && candidate.server().draining();
-            if (isSkipped
-                    || excluded.contains(candidate.server().id())
-                    || isBehind(candidate, required, nowNanos)) {
-                continue;
-            }
-            double cost = cost(candidate, nowNanos);
-            if (cost < bestCost) {
-                best = candidate;
-                bestCost = cost;
+            if (!isSkipped
+                    && !demand.excluded().contains(candidate.server().id())
+                    && !isBehind(candidate, demand.required(), nowNanos)) {
+                usable.add(candidate);
             }
         }
-        return Optional.ofNullable(best);
+        List<Valued> valued = value(usable, demand.kind(), nowNanos);
+        if (valued.isEmpty()) {
+            return Optional.empty();
+        }
+        Valued best = valued.get(0);
+        for (Valued each : valued) {
+            best = each.cost() < best.cost() ? each : best;
+        }
+        if (!demand.mayProbe() || random >= PROBED_FRACTION) {
+            return Optional.of(best.candidate());
+        }
+        return Optional.of(probed(valued, best, demand, nowNanos).orElse(best).candidate());
+    }
+
+    private List<Valued> value(List<ReadCandidate> usable, WorkKind kind, long nowNanos) {
+        double[] readMillis = mEstimate.readMillis(usable, kind, nowNanos);
+        List<Valued> valued = new ArrayList<>(usable.size());
+        for (int index = 0; index < usable.size(); index++) {
+            ReadCandidate candidate = usable.get(index);
+            double cost = cost(candidate, readMillis[index], nowNanos);
+            valued.add(new Valued(candidate, readMillis[index], cost));
+        }
+        return valued;
+    }
+
+    private Optional<Valued> probed(
+            List<Valued> valued, Valued best, ReadDemand demand, long nowNanos) {
+        double remainingMillis = (demand.objectiveNanos() - nowNanos) / NANOS_PER_MILLI;
+        return valued.stream()
+                .filter(each -> each.candidate().waiting() == 0)
+                .filter(each -> each.candidate().room().isStale(nowNanos))
+                .filter(each -> each.readMillis() * PROBE_SAFETY_FACTOR < remainingMillis)
+                .filter(each -> cost(each.candidate(), best.readMillis(), nowNanos) < best.cost())
+                .findFirst();
     }
 
     private static boolean isBehind(
@@ -77,11 +113,11 @@
                 && candidate.health().isKnownBehind(required.get(), nowNanos);
     }
 
-    private double cost(ReadCandidate candidate, long nowNanos) {
+    private double cost(ReadCandidate candidate, double readMillis, long nowNanos) {
         ServerHealth health = candidate.health();
-        int slots = Math.max(1, candidate.server().slots());
+        int concurrency = mEstimate.concurrency(candidate, nowNanos);
         double queueLength = health.inFlight() + WAITING_REQUEST_WEIGHT * candidate.waiting();
-        double cost = health.latencyMillis() * (1 + queueLength / slots);
+        double cost = readMillis * (1 + queueLength / concurrency);
         cost += mFailureDomain.equals(candidate.server().failureDomain()) ? 0 : REMOTE_COST_MILLIS;
         cost += candidate.primary() ? PRIMARY_COST_MILLIS : 0;
         boolean isNonPreferredReplica = !candidate.preferredReplica() && !candidate.primary();
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/placement/ReadPlacementTest.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.capacity.UnlimitedServerRoom;
+import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -18,6 +20,8 @@
     private static final long NOW = 5_000_000_000L;
     private static final Optional<LogPosition> REQUIRED = Optional.of(new LogPosition(3, 100));
 
+    private static final WorkKind READ = new WorkKind("d", WorkKind.Step.READ);
+
     private ServerHealth mPrimary;
     private ServerHealth mNear;
     private ServerHealth mFar;
@@ -56,6 +60,7 @@
                         new ReadCandidate(
                                 server("primary", "b", true, false),
                                 mPrimary,
+                                new UnlimitedServerRoom(),
                                 true,
                                 false,
                                 0,
@@ -65,6 +70,7 @@
                         new ReadCandidate(
                                 server("near", "a", false, mNearDraining),
                                 mNear,
+                                new UnlimitedServerRoom(),
                                 false,
                                 true,
                                 0,
@@ -72,12 +78,14 @@
                         new ReadCandidate(
                                 server("far", "c", false, false),
                                 mFar,
+                                new UnlimitedServerRoom(),
                                 false,
                                 false,
                                 0,
                                 connected.contains("far") ? ConnectionAvailability.IDLE : others));
-        return new ReadPlacement("a")
-                .choose(candidates, REQUIRED, excluded, NOW)
+        ReadDemand demand = new ReadDemand(READ, REQUIRED, excluded, NOW, true);
+        return new ReadPlacement("a", ReadTimeEstimate.byResponseTimes())
+                .choose(candidates, demand, 0, NOW)
                 .map(candidate -> candidate.server().id());
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -130,6 +130,11 @@
             6307,
             Logger.Level.WARN,
             "answer-mismatched server=%s workspace=%s statement=%s reason=\"%s\""),
+    /** A server is believed to take much more or less than before. */
+    SERVER_CAPACITY(
+            6320,
+            Logger.Level.INFO,
+            "server-capacity service=%s server=%s limit=%s time-percent=%s wait-percent=%s"),
     /** An unexpected error occurred; the process continues. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
@@ -9,6 +9,7 @@
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.ReadGuarantee;
 import org.plantainferry.engine.freshness.TimedPosition;
+import org.plantainferry.engine.placement.ReadDemand;
 import org.plantainferry.engine.sessionstate.ConnectionSetupStep;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.statement.FailureCode;
@@ -198,8 +199,12 @@
                 mGroup.chooseForRead(
                         mBroker.placement(),
                         mRequest.workspace(),
-                        required,
-                        mExcluded,
+                        new ReadDemand(
+                                mRequest.workKind(),
+                                required,
+                                mExcluded,
+                                mRequest.urgency().objectiveNanos(),
+                                mRequest.purpose() == ConnectionPurpose.READ && !mRequest.hedge()),
                         mBroker.now());
         if (pool.isEmpty() && mRequest.hedge()) {
             mCallback.accept(PreparedConnectionResult.refused("no other server can answer", 0));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionRequest.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.DatabaseRoute;
 import org.plantainferry.engine.scheduling.Urgency;
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
@@ -14,6 +15,7 @@
  * @param workspace the workspace for which the statement runs
  * @param route the route of the operation
  * @param purpose what the connection is for
+ * @param workKind the kind of the first statement
  * @param sessionState the session values and prepared statements
  * @param requiredDefinition the prepared statement that the first statement executes, if any
  * @param sessionPosition the log position of the last commit of the session
@@ -28,6 +30,7 @@
         String workspace,
         DatabaseRoute route,
         ConnectionPurpose purpose,
+        WorkKind workKind,
         SessionState sessionState,
         Optional<PreparedStatementDefinition> requiredDefinition,
         Optional<LogPosition> sessionPosition,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PeerPositionHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.DatabaseRoute;
 import org.plantainferry.engine.freshness.TimedPosition;
 import org.plantainferry.engine.scheduling.Urgency;
@@ -67,6 +68,7 @@
                 NO_WORKSPACE,
                 mRoute,
                 ConnectionPurpose.TRANSACTION,
+                new WorkKind(mRoute.database(), WorkKind.Step.READ),
                 new SessionState(),
                 Optional.empty(),
                 Optional.empty(),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryPositionSampler.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryPositionSampler.java
@@ -91,6 +91,7 @@
                         mRequest.workspace(),
                         mRequest.route(),
                         ConnectionPurpose.TRANSACTION,
+                        mRequest.workKind(),
                         mRequest.sessionState(),
                         Optional.empty(),
                         Optional.empty(),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -6,11 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
-import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.capacity.WorkTimes;
 import org.plantainferry.engine.freshness.PositionSamples;
 import org.plantainferry.engine.placement.ReadCandidate;
+import org.plantainferry.engine.placement.ReadDemand;
 import org.plantainferry.engine.placement.ReadPlacement;
 
 /**
@@ -20,6 +21,7 @@
  */
 final class ServerGroup {
     private final Map<String, ServerConnectionPool> mPools = new HashMap<>();
+    private final WorkTimes mWorkTimes = new WorkTimes();
     private final PositionSamples mSamples = new PositionSamples();
     private final List<Runnable> mSampleWaiters = new ArrayList<>();
     private boolean mSampling;
@@ -43,6 +45,11 @@
         return mSamples;
     }
 
+    /** Returns the times for kinds of work that all servers of the group share. */
+    WorkTimes workTimes() {
+        return mWorkTimes;
+    }
+
     Map<String, ServerConnectionPool> pools() {
         return mPools;
     }
@@ -59,6 +66,7 @@
         return new ReadCandidate(
                 pool.server(),
                 pool.health(),
+                pool.room(),
                 id.equals(mPrimary),
                 id.equals(mPreferredReplica),
                 pool.waiters(),
@@ -70,13 +78,10 @@
     }
 
     Optional<ServerConnectionPool> chooseForRead(
-            ReadPlacement placement,
-            String workspace,
-            Optional<LogPosition> required,
-            Set<String> excluded,
-            long nowNanos) {
+            ReadPlacement placement, String workspace, ReadDemand demand, long nowNanos) {
+        double random = ThreadLocalRandom.current().nextDouble();
         return placement
-                .choose(candidates(workspace), required, excluded, nowNanos)
+                .choose(candidates(workspace), demand, random, nowNanos)
                 .map(candidate -> mPools.get(candidate.server().id()));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -9,6 +9,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.capacity.LearnedServerRoom;
+import org.plantainferry.engine.capacity.ServerCapacity;
+import org.plantainferry.engine.capacity.ServerRoom;
 import org.plantainferry.engine.capacity.UnlimitedServerRoom;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
@@ -16,6 +19,8 @@
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.WireFormat;
 
@@ -25,6 +30,7 @@
  * <p>Not thread-safe: used by the traffic thread only.
  */
 final class ServerGroupRegistry {
+    private static final double PERCENT = 100;
     private static final int DEFAULT_MAX_CONNECTIONS = 30;
     private static final long NO_EVACUATION_MILLIS = Long.MAX_VALUE / 1_000_000;
     // Upper bound of the time between the choice of a connection and the arrival of its statement.
@@ -35,12 +41,14 @@
     private final String mInstance;
     private final String mFailureDomain;
     private final String mLocalAddress;
+    private final boolean mLearnsRoom;
     private final long mLeavingPrimaryNanos;
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
     private final PrimaryLeaseGuard mLeaseGuard;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
     private final EvacuatedDomains mEvacuatedDomains;
+    private int mInstances = 1;
 
     ServerGroupRegistry(
             EventLoop loop,
@@ -54,6 +62,7 @@
         mInstance = settings.instance();
         mFailureDomain = settings.failureDomain();
         mLocalAddress = settings.localAddress();
+        mLearnsRoom = settings.experimental().serverRoom().equals(ExperimentalSettings.LEARNED);
         mLeavingPrimaryNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
@@ -78,6 +87,7 @@
         mEvacuatedDomains.onDomains(view.evacuatedDomains(), mClock.getAsLong());
         Map<String, String> domains = new HashMap<>(view.otherInstanceDomains());
         domains.put(mInstance, mFailureDomain);
+        mInstances = domains.size();
         ConnectionPlan plan = new ConnectionPlan(mInstance, domains);
         Set<String> present = new HashSet<>();
         for (String service : view.catalog().services()) {
@@ -153,12 +163,45 @@
                         mClock,
                         server,
                         health,
-                        new UnlimitedServerRoom(),
+                        room(server),
                         mMetrics);
         pools.put(server.id(), pool);
         return pool;
     }
 
+    private ServerRoom room(CatalogServer server) {
+        if (!mLearnsRoom) {
+            return new UnlimitedServerRoom();
+        }
+        int slots = Math.max(1, server.slots());
+        return new LearnedServerRoom(
+                slots,
+                Math.max(1, slots / mInstances),
+                group(server.service()).workTimes(),
+                mClock.getAsLong());
+    }
+
+    /** Logs the servers that are believed to take much more or less than before. */
+    void logCapacityChanges() {
+        long now = mClock.getAsLong();
+        mGroups.values().stream()
+                .flatMap(group -> group.pools().values().stream())
+                .forEach(
+                        pool ->
+                                pool.room()
+                                        .takeChange(now)
+                                        .ifPresent(capacity -> log(pool.server(), capacity)));
+    }
+
+    private static void log(CatalogServer server, ServerCapacity capacity) {
+        GatewayEvent.SERVER_CAPACITY.log(
+                server.service(),
+                server.id(),
+                capacity.limit(),
+                Math.round(PERCENT * capacity.slowness()),
+                Math.round(PERCENT * capacity.queueing()));
+    }
+
     /** Closes all connections. */
     void close() {
         mGroups.values()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -92,6 +92,7 @@
                         mContext.workspace(),
                         mContext.route(),
                         mPurpose,
+                        mContext.workKind(mStatement),
                         mContext.sessionState(),
                         mStatement.definition(),
                         mContext.positions().of(mContext.route().service()),
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -20,7 +20,9 @@
 import org.plantainferry.engine.catalog.DatabaseRoute;
 import org.plantainferry.engine.freshness.TimedPosition;
 import org.plantainferry.engine.placement.ReadPlacement;
+import org.plantainferry.engine.placement.ReadTimeEstimate;
 import org.plantainferry.engine.quota.LimitTolerance;
+import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.network.http.SocketAddresses;
@@ -103,7 +105,7 @@
                 new ConnectionBroker(
                         loop,
                         mGroups,
-                        new ReadPlacement(settings.failureDomain()),
+                        readPlacement(settings),
                         clock,
                         suspectedPrimaryListener,
                         peerPositions,
@@ -112,6 +114,14 @@
         mContext = new TrafficContext(loop, format, mBroker, admission, metrics);
     }
 
+    private static ReadPlacement readPlacement(GatewaySettings settings) {
+        boolean isLearned =
+                settings.experimental().serverRoom().equals(ExperimentalSettings.LEARNED);
+        return new ReadPlacement(
+                settings.failureDomain(),
+                isLearned ? ReadTimeEstimate.byLearnedTimes() : ReadTimeEstimate.byResponseTimes());
+    }
+
     /** Opens the listener for callers and blocks until it is bound. */
     public void start() {
         mListener =
@@ -169,6 +179,7 @@
 
     private void cleanUp() {
         mGroups.closeIdleConnections();
+        mGroups.logCapacityChanges();
         mLimits.discardRemovedWorkspaces();
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -140,6 +140,7 @@
                         mContext.workspace(),
                         mContext.route(),
                         mPurpose,
+                        mContext.workKind(pending.mStatement),
                         mContext.sessionState(),
                         pending.mStatement.definition(),
                         mContext.positions().of(mContext.route().service()),
