Limit second attempts by a budget and by the room of the servers

Cause: a statement was sent up to six times after BUSY, a transaction up to four times without a pause, and reads were hedged also where every server was full, so an instance multiplied the load when room was shortest. Change: SecondAttemptPolicy decides for each service, with the RetryBudget of the HTTP daemon, the room of the servers (GroupRoom) and the share of BUSY among the last answers. Moves to another server after READONLY, LAGGING or MAXCONN stay free; a write that may have run is never repeated. A refusal tells when room is expected. A statement that the gateway itself did not send is no longer counted as BUSY of the server.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryBudget.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryBudget.java
@@ -23,6 +23,7 @@
     private final long[] mRequests = new long[WINDOW_STEPS];
     private final long[] mRetries = new long[WINDOW_STEPS];
     private final long mOriginNanos;
+    private long mBaseRetries = BASE_RETRIES;
     private long mStep;
     private long mRequestSum;
     private long mRetrySum;
@@ -32,6 +33,15 @@
         mOriginNanos = nowNanos;
     }
 
+    /**
+     * Divides the 10 retries that do not depend on the number of requests among instances, each of
+     * which may make at least one of them.
+     */
+    public void shareAmong(int instances) {
+        Preconditions.condition(instances >= 1, "instances must be at least 1: " + instances);
+        mBaseRetries = Math.max(1, BASE_RETRIES / instances);
+    }
+
     /** Counts a request; its retries must not be counted. */
     public void onRequest(long nowNanos) {
         advance(nowNanos);
@@ -50,6 +60,13 @@
         return true;
     }
 
+    /** Counts a second attempt that another limit has permitted; the budget may become negative. */
+    public void onSecondAttempt(long nowNanos) {
+        advance(nowNanos);
+        mRetries[index(mStep)]++;
+        mRetrySum++;
+    }
+
     /** Returns the number of retries that the budget allows now. */
     public long available(long nowNanos) {
         advance(nowNanos);
@@ -57,7 +74,7 @@
     }
 
     private long available() {
-        return BASE_RETRIES + mRequestSum / REQUESTS_PER_RETRY - mRetrySum;
+        return mBaseRetries + mRequestSum / REQUESTS_PER_RETRY - mRetrySum;
     }
 
     private void advance(long nowNanos) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryDecision.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/retry/RetryDecision.java
@@ -19,12 +19,18 @@
      * Answers the caller with the failure at once.
      *
      * @param reason why the request is not retried
+     * @param retryAfterNanos nanoseconds after which the caller may retry; 0 if nothing is known
      */
-    record GiveUp(Reason reason) implements RetryDecision {
+    record GiveUp(Reason reason, long retryAfterNanos) implements RetryDecision {
         /** Checks that the reason is present. */
         public GiveUp {
             Preconditions.notNull(reason, "reason");
         }
+
+        /** Creates a decision without a time after which the caller may retry. */
+        public GiveUp(Reason reason) {
+            this(reason, 0);
+        }
     }
 
     /** Lists the reasons for which a request is not retried. */
@@ -38,6 +44,8 @@
         /** Too little time is left until the deadline. */
         DEADLINE,
         /** The retry budget of the service is used up. */
-        BUDGET_USED
+        BUDGET_USED,
+        /** The servers have no room for another attempt. */
+        ROOM_SHORT
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -26,6 +27,7 @@
     private final ServerGroupRegistry mGroups;
     private final ReadPlacement mPlacement;
     private final HedgeBudget mHedgeBudget = new HedgeBudget();
+    private final Random mRandom = new Random();
     private final LongSupplier mClock;
     private final Supplier<SuspectedPrimaryListener> mSuspectedPrimaryListener;
     private final PeerPositionSource mPeerPositions;
@@ -73,6 +75,11 @@
         return mHedgeBudget;
     }
 
+    /** Returns a random number from 0 to 1, to spread what would otherwise be done together. */
+    double random() {
+        return mRandom.nextDouble();
+    }
+
     PeerPositionSource peerPositions() {
         return mPeerPositions;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationResult.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationResult.java
@@ -20,6 +20,11 @@
             return refused("not answered", reason, retryAfterMillis);
         }
 
+        /** Returns a refusal of a transaction that is rolled back, with a retry delay. */
+        static Failed nothingKept(String reason, long retryAfterMillis) {
+            return refused("nothing kept", reason, retryAfterMillis);
+        }
+
         private static Failed refused(String outcome, String reason, long retryAfterMillis) {
             return new Failed(
                     FailureCode.BUSY,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -122,9 +122,7 @@
         if (reply.isDone()) {
             return ServerRoom.Outcome.ANSWERED;
         }
-        return reply.isFailed() && reply.code() == FailureCode.BUSY
-                ? ServerRoom.Outcome.BUSY
-                : ServerRoom.Outcome.FAILED;
+        return reply.isOverload() ? ServerRoom.Outcome.BUSY : ServerRoom.Outcome.FAILED;
     }
 
     /** Returns how many statements of this instance the server has room for. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -12,6 +12,7 @@
 import org.plantainferry.engine.freshness.PositionSamples;
 import org.plantainferry.engine.placement.ReadCandidate;
 import org.plantainferry.engine.placement.ReadPlacement;
+import org.plantainferry.engine.retry.SecondAttemptPolicy;
 
 /**
  * Holds the traffic state of one server group: its connection pools, position samples and primary.
@@ -25,6 +26,7 @@
     private boolean mSampling;
     private final long mLeavingPrimaryNanos;
     private final Predicate<String> mMayUseAsPrimary;
+    private final SecondAttemptPolicy mSecondAttempts;
     private String mPrimary = "";
     private String mPreferredReplica = "";
 
@@ -33,10 +35,19 @@
      *
      * @param leavingNanos for how long a leaving primary receives new work, in nanoseconds
      * @param mayUseAsPrimary whether a server may currently be used as the primary
+     * @param secondAttempts decides what is sent to the servers of the group again
      */
-    ServerGroup(long leavingNanos, Predicate<String> mayUseAsPrimary) {
+    ServerGroup(
+            long leavingNanos,
+            Predicate<String> mayUseAsPrimary,
+            SecondAttemptPolicy secondAttempts) {
         mLeavingPrimaryNanos = leavingNanos;
         mMayUseAsPrimary = mayUseAsPrimary;
+        mSecondAttempts = secondAttempts;
+    }
+
+    SecondAttemptPolicy secondAttempts() {
+        return mSecondAttempts;
     }
 
     PositionSamples samples() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -16,6 +16,8 @@
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.engine.retry.RetryBudget;
+import org.plantainferry.engine.retry.SecondAttemptPolicy;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.WireFormat;
 
@@ -65,12 +67,15 @@
     }
 
     ServerGroup group(String service) {
-        return mGroups.computeIfAbsent(
-                service,
-                key ->
-                        new ServerGroup(
-                                mLeavingPrimaryNanos,
-                                server -> mLeaseGuard.mayUseAsPrimary(key, server)));
+        return mGroups.computeIfAbsent(service, this::createGroup);
+    }
+
+    private ServerGroup createGroup(String service) {
+        long now = mClock.getAsLong();
+        return new ServerGroup(
+                mLeavingPrimaryNanos,
+                server -> mLeaseGuard.mayUseAsPrimary(service, server),
+                new SecondAttemptPolicy(new RetryBudget(now), now));
     }
 
     /** Applies a new view: creates pools for added servers and closes those of removed servers. */
@@ -87,6 +92,7 @@
                 (service, group) ->
                         group.setPrimary(view.catalog().primary(service).map(CatalogServer::id)));
         for (ServerGroup group : mGroups.values()) {
+            group.secondAttempts().shareAmong(domains.size());
             for (ServerConnectionPool pool : List.copyOf(group.pools().values())) {
                 if (!present.contains(pool.server().id())) {
                     group.pools().remove(pool.server().id());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.retry.FailureCause;
 import org.plantainferry.gateway.statement.FailureCode;
 import org.plantainferry.gateway.statement.SessionMode;
 
@@ -32,6 +33,8 @@
         DONE,
         /** With a refusal or a failure. */
         FAILED,
+        /** Without being sent. */
+        NOT_SENT,
         /** Without a complete answer. */
         LOST,
         /**
@@ -62,7 +65,7 @@
     /** Returns a refusal for a statement that was not sent. */
     static ServerReply notSent(String reason) {
         return new ServerReply(
-                Kind.FAILED,
+                Kind.NOT_SENT,
                 List.of(),
                 "",
                 FailureCode.BUSY,
@@ -76,7 +79,7 @@
     }
 
     boolean isFailed() {
-        return kind == Kind.FAILED;
+        return kind == Kind.FAILED || kind == Kind.NOT_SENT;
     }
 
     /** Returns whether the own answer of the statement is unknown. */
@@ -86,6 +89,26 @@
 
     /** Returns whether the server has certainly not run the statement. */
     boolean isNotRun() {
-        return kind == Kind.FAILED && code.isNotRun();
+        return isFailed() && code.isNotRun();
+    }
+
+    /** Returns whether the server refused because its queue is full. */
+    boolean isOverload() {
+        return kind == Kind.FAILED && code == FailureCode.BUSY;
+    }
+
+    /** Returns why the statement has no result; the statement must not have succeeded. */
+    FailureCause failureCause() {
+        if (kind == Kind.NOT_SENT) {
+            return FailureCause.CONNECT_FAILED;
+        }
+        if (!isNotRun()) {
+            return FailureCause.CONNECTION_LOST;
+        }
+        return switch (code) {
+            case BUSY -> FailureCause.BUSY;
+            case BEHIND -> FailureCause.BEHIND;
+            default -> FailureCause.WRONG_SERVER;
+        };
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -6,21 +6,23 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.plantainferry.api.StatementKind;
+import org.plantainferry.api.Verdict;
 import org.plantainferry.engine.catalog.ReadGuarantee;
+import org.plantainferry.engine.retry.FailedAttempt;
+import org.plantainferry.engine.retry.RetryDecision;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.statement.FailureCode;
 
 /**
  * Runs one read or write outside a transaction. Retries a statement that has certainly not run, and
- * any read.
+ * any read, as {@link org.plantainferry.engine.retry.SecondAttemptPolicy} decides.
  *
  * <p>Not thread-safe: used by the traffic thread only.
  */
 final class SingleStatement implements RunningStatement {
     private static final int MAX_ATTEMPTS = 6;
     private static final long RETRY_AFTER_MILLIS = 150;
-    private static final long INITIAL_BUSY_BACKOFF_MILLIS = 15;
-    private static final int MAX_BACKOFF_DOUBLINGS = 4;
     private static final long SILENCE_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final ConnectionBroker mBroker;
@@ -72,6 +74,7 @@
     void start() {
         mDeadlineTimer =
                 mBroker.schedule(mContext.route().statementTimeoutMillis(), this::onDeadline);
+        group().secondAttempts().onFirstAttempt(mArrivedNanos);
         if (mPurpose == ConnectionPurpose.READ) {
             mBroker.hedgeBudget().onRead();
             // Hedging: a read without an answer after this delay is also sent to a second server.
@@ -81,6 +84,14 @@
         attempt(false);
     }
 
+    private ServerGroup group() {
+        return mBroker.group(mContext.route().service());
+    }
+
+    private GroupRoom room() {
+        return new GroupRoom(group(), mContext.workspace(), mContext.workKind(mStatement));
+    }
+
     private void attempt(boolean hedge) {
         mAttempts++;
         mPendingAttempts++;
@@ -148,6 +159,7 @@
         mUnansweredSends--;
         long now = mBroker.now();
         prepared.pool().onStatementEnded(mContext.workKind(mStatement), reply, now - sentNanos);
+        group().secondAttempts().onAnswer(reply.isOverload(), now);
         if (reply.isDone()) {
             prepared.pool().health().onAnswer(now, now - sentNanos);
             reply.position()
@@ -170,31 +182,46 @@
     private void onFailure(PreparedConnection prepared, ServerReply reply, long now) {
         mMayHaveRun |= !reply.isNotRun();
         mLastReason = reply.isLost() ? reply.text() : reply.code() + " " + reply.text();
-        boolean mayRepeat = reply.isNotRun() || !mStatement.writes();
-        if (mayRepeat && mAttempts < MAX_ATTEMPTS && now - mDeadlineNanos < 0) {
+        RetryDecision decision = decide(reply, now);
+        if (decision instanceof RetryDecision.Retry retry) {
             GatewayEvent.REQUEST_RETRIED.log(
                     mRequestId, prepared.pool().server().id(), mAttempts, mLastReason);
-            retry(reply);
+            retryAfter(TimeUnit.NANOSECONDS.toMillis(retry.delayNanos()));
             return;
         }
         if (mPendingAttempts > 0) {
             return;
         }
-        fail(prepared, failureCode(reply));
+        RetryDecision.GiveUp giveUp = (RetryDecision.GiveUp) decision;
+        mLastReason += SecondAttemptReason.of(giveUp.reason());
+        fail(prepared, failureCode(reply), TimeUnit.NANOSECONDS.toMillis(giveUp.retryAfterNanos()));
     }
 
-    /**
-     * Tries again, with exponential backoff when the last server was overloaded and without delay
-     * otherwise.
-     */
-    private void retry(ServerReply reply) {
-        if (reply.isLost() || reply.code() != FailureCode.BUSY) {
+    private RetryDecision decide(ServerReply reply, long now) {
+        FailedAttempt attempt =
+                new FailedAttempt(
+                        reply.failureCause(),
+                        reply.isNotRun() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+                        mStatement.writes() ? StatementKind.WRITE : StatementKind.READ,
+                        false,
+                        false,
+                        mAttempts,
+                        mDeadlineNanos);
+        return group().secondAttempts()
+                .decide(
+                        attempt,
+                        MAX_ATTEMPTS,
+                        room().forRetry(mPurpose, mExcluded, now),
+                        now,
+                        mBroker.random());
+    }
+
+    private void retryAfter(long pauseMillis) {
+        if (pauseMillis == 0) {
             attempt(false);
             return;
         }
         mPendingAttempts++;
-        long pauseMillis =
-                INITIAL_BUSY_BACKOFF_MILLIS << Math.min(mAttempts - 1, MAX_BACKOFF_DOUBLINGS);
         mBroker.schedule(
                 pauseMillis,
                 () -> {
@@ -219,7 +246,7 @@
         return mStatement.writes() ? FailureCode.OUTCOME_UNKNOWN : FailureCode.FAILED;
     }
 
-    private void fail(PreparedConnection prepared, FailureCode code) {
+    private void fail(PreparedConnection prepared, FailureCode code, long retryAfterMillis) {
         GatewayEvent.REQUEST_FAILED.log(
                 mRequestId,
                 prepared.pool().server().id(),
@@ -228,22 +255,30 @@
                 mLastReason,
                 TimeUnit.NANOSECONDS.toMillis(mBroker.now() - mArrivedNanos));
         if (code.guaranteesNoEffect()) {
-            finish(refusalResult(mLastReason, RETRY_AFTER_MILLIS));
+            finish(refusalResult(mLastReason, retryAfterMillis));
             return;
         }
         finish(new OperationResult.Failed(code, mLastReason));
     }
 
     private void sendHedge() {
-        if (mFinished || mPendingAttempts != 1 || !mBroker.hedgeBudget().tryHedge()) {
+        if (mFinished || mPendingAttempts != 1 || !mayHedge()) {
             return;
         }
         if (mUnansweredSends == 1) {
             avoidSilentServer();
         }
+        group().secondAttempts().onHedge(mBroker.now());
         attempt(true);
     }
 
+    private boolean mayHedge() {
+        long now = mBroker.now();
+        return group().secondAttempts()
+                        .mayHedge(room().forHedge(mExcluded, now), mDeadlineNanos, now)
+                && mBroker.hedgeBudget().tryHedge();
+    }
+
     private void avoidSilentServer() {
         ServerConnectionPool pool = mLastSentOn.pool();
         GatewayEvent.REQUEST_RETRIED.log(
@@ -278,7 +313,7 @@
         }
         mLastReason = reason;
         PreparedConnection last = mLastSentOn;
-        fail(last, FailureCode.TIMED_OUT);
+        fail(last, FailureCode.TIMED_OUT, retryAfterMillis);
         last.connection().close(mLastReason);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/StatementTimeouts.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/StatementTimeouts.java
@@ -17,6 +17,11 @@
         return arrivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /** Returns the time at which a statement ends without an answer, in nanoseconds. */
+    static long deadline(DatabaseRoute route, long arrivedNanos) {
+        return arrivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMillis());
+    }
+
     /** Returns the milliseconds without an answer after which a read is hedged. */
     static long hedgeMillis(DatabaseRoute route) {
         long part = (long) (route.latencyObjectiveMillis() * HEDGE_FRACTION_OF_OBJECTIVE);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -7,8 +7,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.plantainferry.api.StatementKind;
+import org.plantainferry.api.Verdict;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.ReadGuarantee;
+import org.plantainferry.engine.retry.FailedAttempt;
+import org.plantainferry.engine.retry.RetryDecision;
 import org.plantainferry.engine.sessionstate.ConnectionSetupStep;
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
 import org.plantainferry.gateway.log.GatewayEvent;
@@ -124,6 +128,7 @@
                 mBroker.schedule(
                         mContext.route().statementTimeoutMillis(), () -> onDeadline(pending));
         if (mConnection.isEmpty()) {
+            group().secondAttempts().onFirstAttempt(mStatementStartNanos);
             acquire(pending);
             return;
         }
@@ -236,6 +241,7 @@
         long now = mBroker.now();
         prepared.pool()
                 .onStatementEnded(mContext.workKind(pending.mStatement), reply, now - sentNanos);
+        group().secondAttempts().onAnswer(reply.isOverload(), now);
         if (mEnded || pending.mFinished) {
             return;
         }
@@ -249,13 +255,63 @@
             return;
         }
         ConnectionAcquisition.recordFailure(prepared.pool(), reply, now);
-        boolean mayMove = !mHasRun && !pending.isCommit() && mAttempts < MAX_ATTEMPTS;
-        if (mayMove && reply.isNotRun()) {
-            // Nothing has run yet, so the transaction can restart on another server.
-            confirmAndRetry(pending, prepared, reply);
+        boolean mayMove = !mHasRun && !pending.isCommit() && reply.isNotRun();
+        if (!mayMove) {
+            onFailure(pending, prepared, reply);
             return;
         }
-        onFailure(pending, prepared, reply);
+        // Nothing has run yet, so the transaction can restart on another server.
+        RetryDecision decision = decide(pending, reply, now);
+        if (decision instanceof RetryDecision.Retry retry) {
+            confirmAndRetry(pending, prepared, reply, retry);
+            return;
+        }
+        giveUp(pending, prepared, reply, (RetryDecision.GiveUp) decision);
+    }
+
+    private RetryDecision decide(PendingStatement pending, ServerReply reply, long now) {
+        FailedAttempt attempt =
+                new FailedAttempt(
+                        reply.failureCause(),
+                        Verdict.NOT_RUN,
+                        pending.mStatement.writes() ? StatementKind.WRITE : StatementKind.READ,
+                        false,
+                        false,
+                        mAttempts,
+                        StatementTimeouts.deadline(mContext.route(), mStatementStartNanos));
+        GroupRoom room =
+                new GroupRoom(group(), mContext.workspace(), mContext.workKind(pending.mStatement));
+        return group().secondAttempts()
+                .decide(
+                        attempt,
+                        MAX_ATTEMPTS,
+                        room.forRetry(mPurpose, mExcluded, now),
+                        now,
+                        mBroker.random());
+    }
+
+    /** Reports a refusal after which the transaction is not restarted; nothing of it is kept. */
+    private void giveUp(
+            PendingStatement pending,
+            PreparedConnection prepared,
+            ServerReply reply,
+            RetryDecision.GiveUp decision) {
+        if (!reply.isOverload()) {
+            onFailure(pending, prepared, reply);
+            return;
+        }
+        String reason = reply.text() + SecondAttemptReason.of(decision.reason());
+        long retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(decision.retryAfterNanos());
+        endWithFailure(
+                pending,
+                prepared,
+                OperationResult.Failed.nothingKept(
+                        FailureCode.BUSY + " " + reason, retryAfterMillis));
+        ConnectionAcquisition.releaseOrClose(prepared, reply);
+    }
+
+    private ServerGroup group() {
+        return mBroker.group(mContext.route().service());
     }
 
     /**
@@ -263,10 +319,13 @@
      * otherwise the server runs the statement too.
      */
     private void confirmAndRetry(
-            PendingStatement pending, PreparedConnection prepared, ServerReply reply) {
+            PendingStatement pending,
+            PreparedConnection prepared,
+            ServerReply reply,
+            RetryDecision.Retry retry) {
         if (!prepared.connection().hasUnconfirmedRefusal()) {
             ConnectionAcquisition.releaseOrClose(prepared, reply);
-            retryOnAnotherServer(pending, prepared, reply);
+            retryOnAnotherServer(pending, prepared, reply, retry);
             return;
         }
         ConnectionAcquisition.confirmAndRelease(
@@ -276,7 +335,7 @@
                         return;
                     }
                     if (confirmed) {
-                        retryOnAnotherServer(pending, prepared, reply);
+                        retryOnAnotherServer(pending, prepared, reply, retry);
                         return;
                     }
                     endWithFailure(
@@ -288,12 +347,25 @@
     }
 
     private void retryOnAnotherServer(
-            PendingStatement pending, PreparedConnection prepared, ServerReply reply) {
+            PendingStatement pending,
+            PreparedConnection prepared,
+            ServerReply reply,
+            RetryDecision.Retry retry) {
         GatewayEvent.REQUEST_RETRIED.log(
                 pending.mRequestId, prepared.pool().server().id(), mAttempts, reply.code());
         mExcluded.add(prepared.pool().server().id());
         mConnection = Optional.empty();
-        acquire(pending);
+        if (!reply.isOverload()) {
+            acquire(pending);
+            return;
+        }
+        mBroker.schedule(
+                TimeUnit.NANOSECONDS.toMillis(retry.delayNanos()),
+                () -> {
+                    if (!mEnded && !pending.mFinished) {
+                        acquire(pending);
+                    }
+                });
     }
 
     private void onDone(
@@ -330,16 +402,21 @@
             PreparedConnection prepared,
             FailureCode code,
             String reason) {
+        endWithFailure(pending, prepared, new OperationResult.Failed(code, reason));
+    }
+
+    private void endWithFailure(
+            PendingStatement pending, PreparedConnection prepared, OperationResult.Failed failure) {
         mEnded = true;
         mConnection = Optional.empty();
         GatewayEvent.REQUEST_FAILED.log(
                 pending.mRequestId,
                 prepared.pool().server().id(),
-                code.guaranteesNoEffect() ? "nothing-kept" : "may-have-run",
-                code,
-                reason,
+                failure.code().guaranteesNoEffect() ? "nothing-kept" : "may-have-run",
+                failure.code(),
+                failure.reason(),
                 TimeUnit.NANOSECONDS.toMillis(mBroker.now() - mStatementStartNanos));
-        pending.finish(new OperationResult.Failed(code, reason));
+        pending.finish(failure);
     }
 
     private void abort(PendingStatement pending, String reason) {
