Show operators who waits for a server, and explain refusals for lack of room

Cause: no metric told how long statements of a priority or workspace waited, and a request that was refused for lack of room had no line of its own in the log, by design. Change: LoadMetrics has series by server and priority, and by workspace, and removes those of servers and workspaces that are gone; PF6330 sums up waits and refusals, one line for each priority and 5 s, and names two requests. plantainferry explain uses the sums (PF6310, PF6320, PF6330) and the reasons of statements that are not sent again. The fields of ServerLoad for waiting, displaced and slowness wait for the queue and the learned room.

--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/ExplainCommand.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/ExplainCommand.java
@@ -46,8 +46,9 @@
         if (found.isEmpty()) {
             return Outcome.refused(
                     "No log has a line about request " + requestId + ".",
-                    "a request that succeeded at the first attempt has no lines; otherwise"
-                            + " name the logs of other instances.");
+                    "a request that succeeded at the first attempt has no lines, and one that was"
+                            + " refused for lack of room may be in the sums PF6310 and PF6330 only;"
+                            + " otherwise name the logs of other instances.");
         }
         found.sort(Comparator.comparing(explanation -> explanation.firstDecision().time()));
         List<String> lines =
--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
@@ -10,7 +10,8 @@
  * Keeps the newest log line about each subject of the state that an instance knows.
  *
  * <p>A subject is the configuration, the store feed of one kind of object, the list of instances, a
- * server, or the replacement of a service's primary.
+ * server, the room at a server, the waits of statements of one priority, or the replacement of a
+ * service's primary.
  *
  * @since 0.2
  */
@@ -21,6 +22,10 @@
     private static final String CONFIGURATION_CODE = "PF6101";
     private static final String SERVER_CODE = "PF6105";
     private static final String INSTANCES_CODE = "PF6106";
+    private static final String WAITS_CODE = "PF6330";
+
+    /** The events about the room at one server. */
+    private static final Set<String> ROOM_CODES = Set.of("PF6310", "PF6320");
 
     private final Map<String, LogLine> mNewestLines = new LinkedHashMap<>();
 
@@ -41,7 +46,11 @@
         if (REPLACEMENT_CODES.contains(line.code())) {
             return "replacement " + line.field("service");
         }
+        if (ROOM_CODES.contains(line.code())) {
+            return line.code() + " " + line.field("server");
+        }
         return switch (line.code()) {
+            case WAITS_CODE -> "waits " + line.field("priority");
             case CONFIGURATION_CODE -> "configuration";
             case INSTANCES_CODE -> "instances";
             case SERVER_CODE -> "server " + line.field("id");
@@ -63,13 +72,21 @@
             boolean concernsRequest =
                     servers.contains(line.field("id")) || services.contains(line.field("service"));
             boolean isReplacementLine = REPLACEMENT_CODES.contains(line.code());
-            if ((!isServerLine && !isReplacementLine) || concernsRequest) {
+            boolean concernsOther = concernsOtherServer(line, servers, services);
+            if (!concernsOther && ((!isServerLine && !isReplacementLine) || concernsRequest)) {
                 lines.add(line);
             }
         }
         return lines;
     }
 
+    private boolean concernsOtherServer(LogLine line, Set<String> servers, Set<String> services) {
+        String server = line.field("server");
+        return ROOM_CODES.contains(line.code())
+                && !servers.contains(server)
+                && !services.contains(serviceOf(server));
+    }
+
     /** Returns the service of a server; empty when the log has not named it yet. */
     String serviceOf(String server) {
         LogLine line = mNewestLines.get("server " + server);
--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/log/RequestExplanation.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/log/RequestExplanation.java
@@ -16,6 +16,8 @@
  */
 public final class RequestExplanation {
     private static final String STARTED_CODE = "PF6001";
+    // Sums up many requests and names two of them.
+    private static final String SUM_CODE = "PF6330";
 
     private final String mRequestId;
     private final KnownStateLog mKnownState = new KnownStateLog();
@@ -40,7 +42,10 @@
         if (line.code().equals(STARTED_CODE)) {
             mInstance = line.field("instance");
         }
-        if (line.field("request").equals(mRequestId)) {
+        boolean isNamed =
+                line.field("request").equals(mRequestId)
+                        || line.field("refused-request").equals(mRequestId);
+        if (isNamed) {
             addDecision(line);
         } else if (mDecisions.isEmpty()) {
             mKnownState.add(line);
@@ -79,7 +84,15 @@
             Duration elapsed = Duration.between(firstDecision().time(), decision.time());
             lines.add("  after " + elapsed.toMillis() + " ms: " + decision.text());
         }
-        lines.add("  " + DecisionSummary.of(mDecisions.get(mDecisions.size() - 1)));
+        lines.add("  " + DecisionSummary.of(lastDecision(), mRequestId));
         return lines;
     }
+
+    /** Returns the last decision; a sum, which is logged later, only if there is no other. */
+    private LogLine lastDecision() {
+        return mDecisions.stream()
+                .filter(line -> !line.code().equals(SUM_CODE))
+                .reduce((earlier, later) -> later)
+                .orElse(mDecisions.get(mDecisions.size() - 1));
+    }
 }
--- a/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
+++ b/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
@@ -73,4 +73,57 @@
         assertEquals(mTester.run("explain", "r1"), 2);
         assertTrue(mTester.err().contains("at least one log file"), mTester.err());
     }
+
+    private static final String SHORT_ROOM_LOG =
+            """
+            2026-01-15T18:28:05.000Z INFO PF6001 started instance=como-1 domain=como callers=10:1
+            2026-01-15T18:28:05.500Z INFO PF6105 server id=s1 service=ledger state=primary
+            2026-01-15T18:28:05.500Z INFO PF6105 server id=s9 service=other state=primary
+            2026-01-15T18:28:06.000Z INFO PF6320 server-capacity service=ledger server=s1 limit=4 \
+            time-percent=400 wait-percent=900
+            2026-01-15T18:28:06.100Z INFO PF6320 server-capacity service=other server=s9 limit=4 \
+            time-percent=100 wait-percent=100
+            2026-01-15T18:28:06.200Z INFO PF6310 statements-refused server=s1 early=40 displaced=2 \
+            expired=0 waiting=31
+            2026-01-15T18:28:07.000Z WARN PF6303 request-failed request=r3 server=s1 \
+            outcome=not-run code=BUSY reason="BUSY s1; not retried: the servers have no room" \
+            after-ms=12
+            2026-01-15T18:28:10.000Z INFO PF6330 statements-waited priority=2 waited=300 \
+            longest-ms=431 request=r4 workspace=w server=s1 refused=42 refused-request=r3 \
+            reason="the servers have no room"
+            2026-01-15T18:28:15.000Z INFO PF6330 statements-waited priority=2 waited=200 \
+            longest-ms=400 request=r6 workspace=w server=s1 refused=7 refused-request=r5 \
+            reason="the servers have no room"
+            """;
+
+    private String explain(String request) {
+        assertEquals(
+                mTester.run("explain", request, CommandLineTester.writeFile(SHORT_ROOM_LOG)),
+                0,
+                mTester.err());
+        return mTester.out();
+    }
+
+    @Test
+    public void showsTheRoomAtTheServerOfRequestThatWasNotSentAgain() {
+        String out = explain("r3");
+        assertTrue(out.contains("known for 1000 ms: PF6320 server-capacity service=ledger"), out);
+        assertTrue(out.contains("known for 800 ms: PF6310 statements-refused server=s1"), out);
+        assertTrue(out.contains("it was not sent again"), out);
+        assertFalse(out.contains("service=other"), out);
+    }
+
+    @Test
+    public void showsHowLongRequestWaitedAndWhere() {
+        String out = explain("r4");
+        assertTrue(out.contains("It waited 431 ms for server s1"), out);
+        assertTrue(out.contains("priority 2"), out);
+    }
+
+    @Test
+    public void showsThatRequestWasRefusedForLackOfRoom() {
+        String out = explain("r5");
+        assertTrue(out.contains("the servers had no room for it in time"), out);
+        assertFalse(out.contains("It waited"), out);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -130,6 +130,12 @@
             6307,
             Logger.Level.WARN,
             "answer-mismatched server=%s workspace=%s statement=%s reason=\"%s\""),
+    /** Statements of one priority waited for long or were refused without being sent. */
+    STATEMENTS_WAITED(
+            6330,
+            Logger.Level.INFO,
+            "statements-waited priority=%s waited=%s longest-ms=%s request=%s workspace=%s"
+                    + " server=%s refused=%s refused-request=%s reason=\"%s\""),
     /** An unexpected error occurred; the process continues. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationContext.java
@@ -37,4 +37,16 @@
         return new Urgency(
                 workspace, route.priority(), startedNanos, startedNanos + objective, deadlineNanos);
     }
+
+    /** Records that a statement of the operation is sent for the first time. */
+    void recordSent(
+            LoadMetrics metrics, String requestId, PreparedConnection prepared, long waitedNanos) {
+        metrics.onSent(
+                requestId, prepared.pool().server().id(), route.priority(), workspace, waitedNanos);
+    }
+
+    /** Records that a statement of the operation is refused without being sent. */
+    void recordRefused(LoadMetrics metrics, String requestId, String reason) {
+        metrics.onRefused(requestId, route.priority(), workspace, reason);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -130,6 +130,12 @@
         return mRoom;
     }
 
+    /** Returns the load of the server for the metrics. */
+    ServerLoad load(long nowNanos) {
+        return new ServerLoad(
+                mServer.id(), mRoom.limit(nowNanos), mRoom.inFlight(), Map.of(), 0, 0, Double.NaN);
+    }
+
     /** Applies a new catalog entry of the same server process. */
     void update(CatalogServer server) {
         if (server.primary() != mServer.primary()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -27,6 +27,7 @@
     private final long mLeavingPrimaryNanos;
     private final Predicate<String> mMayUseAsPrimary;
     private final SecondAttemptPolicy mSecondAttempts;
+    private final LoadMetrics mLoadMetrics;
     private String mPrimary = "";
     private String mPreferredReplica = "";
 
@@ -36,14 +37,21 @@
      * @param leavingNanos for how long a leaving primary receives new work, in nanoseconds
      * @param mayUseAsPrimary whether a server may currently be used as the primary
      * @param secondAttempts decides what is sent to the servers of the group again
+     * @param loadMetrics receives the waits and refusals of statements
      */
     ServerGroup(
             long leavingNanos,
             Predicate<String> mayUseAsPrimary,
-            SecondAttemptPolicy secondAttempts) {
+            SecondAttemptPolicy secondAttempts,
+            LoadMetrics loadMetrics) {
         mLeavingPrimaryNanos = leavingNanos;
         mMayUseAsPrimary = mayUseAsPrimary;
         mSecondAttempts = secondAttempts;
+        mLoadMetrics = loadMetrics;
+    }
+
+    LoadMetrics loadMetrics() {
+        return mLoadMetrics;
     }
 
     SecondAttemptPolicy secondAttempts() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -75,7 +75,8 @@
         return new ServerGroup(
                 mLeavingPrimaryNanos,
                 server -> mLeaseGuard.mayUseAsPrimary(service, server),
-                new SecondAttemptPolicy(new RetryBudget(now), now));
+                new SecondAttemptPolicy(new RetryBudget(now), now),
+                mMetrics.load());
     }
 
     /** Applies a new view: creates pools for added servers and closes those of removed servers. */
@@ -171,6 +172,22 @@
                 .forEach(group -> group.pools().values().forEach(ServerConnectionPool::close));
     }
 
+    /**
+     * Updates the metrics of the load of all servers.
+     *
+     * @param workspaces the workspaces of the configuration in force
+     */
+    void updateLoadMetrics(Set<String> workspaces) {
+        long now = mClock.getAsLong();
+        mMetrics.load()
+                .update(
+                        mGroups.values().stream()
+                                .flatMap(group -> group.pools().values().stream())
+                                .map(pool -> pool.load(now))
+                                .toList(),
+                        workspaces);
+    }
+
     /** Closes connections that have been idle for longer than their plan allows. */
     void closeIdleConnections() {
         for (ServerGroup group : mGroups.values()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -117,6 +117,7 @@
         if (result.connection().isEmpty()) {
             mPendingAttempts--;
             if (mPendingAttempts == 0 && !mFinished) {
+                recordRefusal(result.reason());
                 finish(refusalResult(result.reason(), result.retryAfterMillis()));
             }
             return;
@@ -130,6 +131,12 @@
         send(prepared);
     }
 
+    private void recordRefusal(String reason) {
+        if (mLastSentOn == null) {
+            mContext.recordRefused(group().loadMetrics(), mRequestId, reason);
+        }
+    }
+
     private void releaseUnused(PreparedConnection prepared) {
         if (mPurpose.isInTransaction()) {
             ConnectionAcquisition.rollBackAndRelease(prepared, rolledBack -> {});
@@ -139,9 +146,12 @@
     }
 
     private void send(PreparedConnection prepared) {
+        long sent = mBroker.now();
+        if (mLastSentOn == null) {
+            mContext.recordSent(group().loadMetrics(), mRequestId, prepared, sent - mArrivedNanos);
+        }
         mLastSentOn = prepared;
         mUnansweredSends++;
-        long sent = mBroker.now();
         mLastSentNanos = sent;
         prepared.pool().onStatementSent(mContext.workKind(mStatement), sent);
         mBroker.send(
@@ -308,6 +318,7 @@
             return;
         }
         if (mUnansweredSends == 0) {
+            recordRefusal(reason);
             finish(refusalResult(reason, retryAfterMillis));
             return;
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
@@ -16,16 +16,23 @@
     private final MeterRegistry mRegistry;
     private final Counter mConnectionsOpening;
     private final Counter mConnectionsFailed;
+    private final LoadMetrics mLoad;
     private final Map<String, Timer> mTimers = new HashMap<>();
     private final Map<String, Counter> mOutcomes = new HashMap<>();
 
     /** Registers the connection counters. */
     public TrafficMetrics(MeterRegistry registry) {
         mRegistry = registry;
+        mLoad = new LoadMetrics(registry);
         mConnectionsOpening = registry.counter("plantainferry.connections.opened");
         mConnectionsFailed = registry.counter("plantainferry.connections.failed");
     }
 
+    /** Returns the metrics of waiting and refused statements. */
+    LoadMetrics load() {
+        return mLoad;
+    }
+
     void onConnectionOpening() {
         mConnectionsOpening.increment();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -169,6 +169,7 @@
 
     private void cleanUp() {
         mGroups.closeIdleConnections();
+        mGroups.updateLoadMetrics(mView.get().configuration().limits().keySet());
         mLimits.discardRemovedWorkspaces();
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -166,11 +166,19 @@
         }
         if (result.connection().isEmpty()) {
             mEnded = true;
+            mContext.recordRefused(group().loadMetrics(), pending.mRequestId, result.reason());
             pending.finish(
                     OperationResult.Failed.notRun(result.reason(), result.retryAfterMillis()));
             return;
         }
         mConnection = result.connection();
+        if (mAttempts == 1) {
+            mContext.recordSent(
+                    group().loadMetrics(),
+                    pending.mRequestId,
+                    mConnection.get(),
+                    mBroker.now() - mStatementStartNanos);
+        }
         send(pending, mConnection.get());
     }
 
@@ -448,6 +456,7 @@
             return;
         }
         if (!isSent(pending)) {
+            mContext.recordRefused(group().loadMetrics(), pending.mRequestId, reason);
             rollBack();
             pending.finish(OperationResult.Failed.notRun(reason, 0));
             return;
