--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import org.plantainferry.engine.capacity.ServerCapacity;
 import org.plantainferry.engine.capacity.ServerRoom;
 import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.CatalogServer;
@@ -125,9 +126,7 @@
         if (reply.isDone()) {
             return ServerRoom.Outcome.ANSWERED;
         }
-        return reply.isFailed() && reply.code() == FailureCode.BUSY
-                ? ServerRoom.Outcome.BUSY
-                : ServerRoom.Outcome.FAILED;
+        return reply.isOverload() ? ServerRoom.Outcome.BUSY : ServerRoom.Outcome.FAILED;
     }
 
     /** Returns how many statements of this instance the server has room for. */
@@ -135,6 +134,19 @@
         return mRoom;
     }
 
+    /** Returns the load of the server for the metrics. */
+    ServerLoad load(long nowNanos) {
+        WaitingSnapshot waiting = mWaiters.snapshot();
+        return new ServerLoad(
+                mServer.id(),
+                mRoom.limit(nowNanos),
+                mRoom.inFlight(),
+                waiting.waitingByPriority(),
+                waiting.refusedEarly(),
+                waiting.displaced(),
+                mRoom.snapshot().map(ServerCapacity::slowness).orElse(Double.NaN));
+    }
+
     /** Applies a new catalog entry of the same server process. */
     void update(CatalogServer server) {
         if (server.primary() != mServer.primary()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroup.java
@@ -14,6 +14,7 @@
 import org.plantainferry.engine.placement.ReadCandidate;
 import org.plantainferry.engine.placement.ReadDemand;
 import org.plantainferry.engine.placement.ReadPlacement;
+import org.plantainferry.engine.retry.SecondAttemptPolicy;
 import org.plantainferry.engine.scheduling.Urgency;
 
 /**
@@ -29,6 +30,8 @@
     private boolean mSampling;
     private final long mLeavingPrimaryNanos;
     private final Predicate<String> mMayUseAsPrimary;
+    private final SecondAttemptPolicy mSecondAttempts;
+    private final LoadMetrics mLoadMetrics;
     private String mPrimary = "";
     private String mPreferredReplica = "";
 
@@ -40,10 +43,26 @@
      *
      * @param leavingNanos for how long a leaving primary receives new work, in nanoseconds
      * @param mayUseAsPrimary whether a server may currently be used as the primary
+     * @param secondAttempts decides what is sent to the servers of the group again
+     * @param loadMetrics receives the waits and refusals of statements
      */
-    ServerGroup(long leavingNanos, Predicate<String> mayUseAsPrimary) {
+    ServerGroup(
+            long leavingNanos,
+            Predicate<String> mayUseAsPrimary,
+            SecondAttemptPolicy secondAttempts,
+            LoadMetrics loadMetrics) {
         mLeavingPrimaryNanos = leavingNanos;
         mMayUseAsPrimary = mayUseAsPrimary;
+        mSecondAttempts = secondAttempts;
+        mLoadMetrics = loadMetrics;
+    }
+
+    LoadMetrics loadMetrics() {
+        return mLoadMetrics;
+    }
+
+    SecondAttemptPolicy secondAttempts() {
+        return mSecondAttempts;
     }
 
     PositionSamples samples() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -19,6 +19,8 @@
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.engine.retry.RetryBudget;
+import org.plantainferry.engine.retry.SecondAttemptPolicy;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
@@ -74,12 +76,16 @@
     }
 
     ServerGroup group(String service) {
-        return mGroups.computeIfAbsent(
-                service,
-                key ->
-                        new ServerGroup(
-                                mLeavingPrimaryNanos,
-                                server -> mLeaseGuard.mayUseAsPrimary(key, server)));
+        return mGroups.computeIfAbsent(service, this::createGroup);
+    }
+
+    private ServerGroup createGroup(String service) {
+        long now = mClock.getAsLong();
+        return new ServerGroup(
+                mLeavingPrimaryNanos,
+                server -> mLeaseGuard.mayUseAsPrimary(service, server),
+                new SecondAttemptPolicy(new RetryBudget(now), now),
+                mMetrics.load());
     }
 
     /** Applies a new view: creates pools for added servers and closes those of removed servers. */
@@ -97,6 +103,7 @@
                 (service, group) ->
                         group.setPrimary(view.catalog().primary(service).map(CatalogServer::id)));
         for (ServerGroup group : mGroups.values()) {
+            group.secondAttempts().shareAmong(domains.size());
             for (ServerConnectionPool pool : List.copyOf(group.pools().values())) {
                 if (!present.contains(pool.server().id())) {
                     group.pools().remove(pool.server().id());
@@ -208,6 +215,22 @@
                 .forEach(group -> group.pools().values().forEach(ServerConnectionPool::close));
     }
 
+    /**
+     * Updates the metrics of the load of all servers.
+     *
+     * @param workspaces the workspaces of the configuration in force
+     */
+    void updateLoadMetrics(Set<String> workspaces) {
+        long now = mClock.getAsLong();
+        mMetrics.load()
+                .update(
+                        mGroups.values().stream()
+                                .flatMap(group -> group.pools().values().stream())
+                                .map(pool -> pool.load(now))
+                                .toList(),
+                        workspaces);
+    }
+
     /** Closes connections that have been idle for longer than their plan allows. */
     void closeIdleConnections() {
         for (ServerGroup group : mGroups.values()) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -180,6 +180,7 @@
     private void cleanUp() {
         mGroups.closeIdleConnections();
         mGroups.logCapacityChanges();
+        mGroups.updateLoadMetrics(mView.get().configuration().limits().keySet());
         mLimits.discardRemovedWorkspaces();
     }
 
