Pass statements to the instance that holds the connections

Cause: with more instances than connections a server, nearly each statement opens a connection, and no instance sees enough of a server's load to order it. Change: engine.hosting ranks hosts by rendezvous hashing and decides about links; gateway.passing carries operations over the peer listener; sessions run their operations through StatementRunner, which passes them where ContentionPolicy or experimental.statementHosts calls for it.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -241,11 +241,12 @@
         SessionCounts counts = mTraffic.counts();
         GatewayEvent.DRAIN_STARTED.log(counts.sessions(), counts.transactions());
         mDraining = true;
+        mTraffic.stopHosting();
         TimeUnit.MILLISECONDS.sleep(Math.min(BALANCER_NOTICE_MILLIS, mSettings.drainMillis() / 2));
         awaitSessionEnds(startedNanos, mSettings.drainMillis() / 2);
         mTraffic.endTransactions();
         counts = awaitSessionEnds(startedNanos, mSettings.drainMillis() - EXIT_RESERVE_MILLIS);
-        if (counts.sessions() > 0) {
+        if (!counts.isEmpty()) {
             mTraffic.endStatements();
             TimeUnit.MILLISECONDS.sleep(LAST_ANSWERS_MILLIS);
         }
@@ -258,7 +259,7 @@
             throws InterruptedException {
         mTraffic.closeIdleSessions();
         SessionCounts counts = mTraffic.counts();
-        while (counts.sessions() > 0 && elapsedMillis(startedNanos) < endMillis) {
+        while (!counts.isEmpty() && elapsedMillis(startedNanos) < endMillis) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
             mTraffic.closeIdleSessions();
             counts = mTraffic.counts();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -37,6 +37,7 @@
     private final EventLoop mLoop;
     private final Supplier<FleetView> mView;
     private final PeerChannel mPeers;
+    private final TrafficServer mTraffic;
     private final DemandExchange mDemandExchange;
     private final ReachabilityPoll mReachabilityPoll;
     private final TokenExchange mTokenExchange;
@@ -69,6 +70,7 @@
         mView = control::view;
         PeerChannel peers = new PeerChannel(loop, settings.localAddress(), settings.peerPort());
         mPeers = peers;
+        mTraffic = traffic;
         startPeerListener(settings, following);
         ServerProbe probe = newProbe(loop, settings, platform, metrics);
         mDemandExchange = createDemandExchange(settings, traffic);
@@ -132,7 +134,13 @@
                 new RelayServer(
                         mLoop, settings.localAddress(), id -> mView.get().catalog().server(id));
         Map<String, PeerProtocol> protocols =
-                Map.of(PeerListener.RELAY, relay, PeerListener.FEEDS, following.protocol());
+                Map.of(
+                        PeerListener.RELAY,
+                        relay,
+                        PeerListener.FEEDS,
+                        following.protocol(),
+                        PeerListener.STATEMENTS,
+                        mTraffic.passingProtocol());
         new PeerListener(mLoop, settings.localAddress(), protocols).start(settings.peerPort());
     }
 
@@ -186,6 +194,7 @@
     }
 
     private void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
+        mTraffic.onOtherInstances(otherInstances);
         mDemandExchange.onOtherInstances(otherInstances);
         mReachabilityPoll.onOtherInstances(otherInstances);
         mTokenExchange.onOtherInstances(otherInstances);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -130,6 +130,13 @@
             6307,
             Logger.Level.WARN,
             "answer-mismatched server=%s workspace=%s statement=%s reason=\"%s\""),
+    /** A host gives no sign of life, and other instances are used for some time. */
+    HOST_AVOIDED(6401, Logger.Level.WARN, "host-avoided host=%s reason=\"%s\" statements=%s"),
+    /** A host announced its exit. */
+    HOST_LEAVING(6402, Logger.Level.INFO, "host-leaving host=%s"),
+    /** A link to a host was not opened or was lost. */
+    HOST_LOST(
+            6403, Logger.Level.INFO, "host-lost host=%s reason=\"%s\" statements=%s avoided-ms=%s"),
     /** An unexpected error occurred; the process continues. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerListener.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerListener.java
@@ -29,6 +29,9 @@
     /** The purpose of a connection over which the feeds of the store are passed on. */
     public static final String FEEDS = "feeds";
 
+    /** The purpose of a connection over which operations are passed to this instance. */
+    public static final String STATEMENTS = "statements";
+
     private static final int MAX_FIRST_LINE_BYTES = 300;
     private static final int BACKLOG = 256;
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
@@ -1,7 +1,9 @@
 package org.plantainferry.gateway.settings;
 
 import java.util.List;
+import java.util.Locale;
 import org.plantainferry.api.Preconditions;
+import org.plantainferry.engine.hosting.HostMode;
 
 /**
  * Selects between ways of working that are compared with each other.
@@ -54,6 +56,11 @@
         return new ExperimentalSettings(storeFollowing, NONE.serverRoom(), NONE.statementHosts());
     }
 
+    /** Returns when statements are passed to a host. */
+    public HostMode hostMode() {
+        return HostMode.valueOf(statementHosts.toUpperCase(Locale.ROOT));
+    }
+
     /** Validates all values. */
     public ExperimentalSettings {
         Preconditions.condition(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -41,7 +41,7 @@
     private CallerWriter mWriter;
     private String mDatabase;
     private String mKey;
-    private Transaction mTransaction;
+    private OpenTransaction mTransaction;
     private Optional<RunningStatement> mRunningStatement = Optional.empty();
     // The reason of a rollback that the caller has not been told yet.
     private Optional<String> mUnreportedRollback = Optional.empty();
@@ -209,7 +209,12 @@
         admit(
                 request,
                 context -> {
-                    mTransaction = new Transaction(mTraffic.broker(), context, begin.readOnly());
+                    mTransaction =
+                            mTraffic.runner()
+                                    .begin(
+                                            context,
+                                            begin.readOnly(),
+                                            this::rollBackIdleTransaction);
                     acknowledge();
                 });
     }
@@ -270,7 +275,7 @@
         if (!recheckAccess(request)) {
             return;
         }
-        Transaction transaction = mTransaction;
+        OpenTransaction transaction = mTransaction;
         mRunningStatement = Optional.of(transaction);
         transaction.commit(
                 request.id(),
@@ -336,16 +341,16 @@
 
     private void runSingle(
             CallerMessage.Request request, OperationContext context, PreparedStatement statement) {
-        SingleStatement running =
-                new SingleStatement(
-                        mTraffic.broker(),
-                        context,
-                        request.id(),
-                        statement,
-                        result -> {
-                            report(context.workspace(), result);
-                            writeResult(result);
-                        });
+        SingleOperation running =
+                mTraffic.runner()
+                        .create(
+                                context,
+                                request.id(),
+                                statement,
+                                result -> {
+                                    report(context.workspace(), result);
+                                    writeResult(result);
+                                });
         mRunningStatement = Optional.of(running);
         running.start();
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/OperationContext.java
@@ -22,6 +22,21 @@
         SessionState sessionState,
         SessionPositions positions,
         long startedNanos) {
+    /** Returns the same context with another maximum duration of each statement. */
+    OperationContext withTimeout(long timeoutMillis) {
+        DatabaseRoute shortened =
+                new DatabaseRoute(
+                        route.database(),
+                        route.service(),
+                        route.guarantee(),
+                        route.maximumAgeMillis(),
+                        timeoutMillis,
+                        route.latencyObjectiveMillis(),
+                        route.priority(),
+                        route.open());
+        return new OperationContext(workspace, shortened, sessionState, positions, startedNanos);
+    }
+
     /** Returns the kind of work that a statement of the operation is for a server. */
     WorkKind workKind(PreparedStatement statement) {
         if (statement.statement() instanceof Statement.Commit) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -13,6 +13,7 @@
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.engine.evacuation.EvacuatedDomains;
+import org.plantainferry.engine.hosting.HostAssignments;
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
@@ -39,6 +40,7 @@
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
     private final PrimaryLeaseGuard mLeaseGuard;
+    private final HostAssignments mHosts;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
     private final EvacuatedDomains mEvacuatedDomains;
 
@@ -48,7 +50,8 @@
             GatewaySettings settings,
             LongSupplier clock,
             TrafficMetrics metrics,
-            PrimaryLeaseGuard leaseGuard) {
+            PrimaryLeaseGuard leaseGuard,
+            HostAssignments hosts) {
         mLoop = loop;
         mFormat = format;
         mInstance = settings.instance();
@@ -62,6 +65,7 @@
         mClock = clock;
         mMetrics = metrics;
         mLeaseGuard = leaseGuard;
+        mHosts = hosts;
     }
 
     ServerGroup group(String service) {
@@ -75,6 +79,7 @@
 
     /** Applies a new view: creates pools for added servers and closes those of removed servers. */
     void applyView(FleetView view) {
+        mHosts.onView(view.configuration(), view.catalog(), view.otherInstanceDomains());
         mEvacuatedDomains.onDomains(view.evacuatedDomains(), mClock.getAsLong());
         Map<String, String> domains = new HashMap<>(view.otherInstanceDomains());
         domains.put(mInstance, mFailureDomain);
@@ -111,7 +116,8 @@
                                                 || !mEvacuatedDomains.isEvacuated(
                                                         server.failureDomain()))
                         .toList();
-        GroupConnections planned = plan.plan(usableServers, primary, connections);
+        GroupConnections planned =
+                mHosts.raise(service, plan.plan(usableServers, primary, connections), connections);
         for (CatalogServer server : servers) {
             present.add(server.id());
             ServerConnectionPool pool = poolOf(server);
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleOperation.java
@@ -0,0 +1,10 @@
+package org.plantainferry.gateway.traffic;
+
+/** Represents one read or write outside a transaction. */
+interface SingleOperation extends RunningStatement {
+    /** Starts the operation; its result may follow before this method returns. */
+    void start();
+
+    /** Ends the operation with a final result if it has not been sent to a server. */
+    void withdraw(String reason);
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -16,7 +16,7 @@
  *
  * <p>Not thread-safe: used by the traffic thread only.
  */
-final class SingleStatement implements RunningStatement {
+final class SingleStatement implements SingleOperation {
     private static final int MAX_ATTEMPTS = 6;
     private static final long RETRY_AFTER_MILLIS = 150;
     private static final long INITIAL_BUSY_BACKOFF_MILLIS = 15;
@@ -69,7 +69,13 @@
                 : ConnectionPurpose.READ;
     }
 
-    void start() {
+    /** Makes a refusal say that the statement may have run, because another instance had it. */
+    void assumeMayHaveRun() {
+        mMayHaveRun = true;
+    }
+
+    @Override
+    public void start() {
         mDeadlineTimer =
                 mBroker.schedule(mContext.route().statementTimeoutMillis(), this::onDeadline);
         if (mPurpose == ConnectionPurpose.READ) {
@@ -263,6 +269,13 @@
         end(reason, 0);
     }
 
+    @Override
+    public void withdraw(String reason) {
+        if (mUnansweredSends == 0) {
+            end(reason, 0);
+        }
+    }
+
     /**
      * Ends the statement without an answer.
      *
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
@@ -14,6 +14,7 @@
     private final ConnectionBroker mBroker;
     private final AdmissionControl mAdmission;
     private final TrafficMetrics mMetrics;
+    private final StatementRunner mRunner;
     private final Set<CallerSession> mSessions = new LinkedHashSet<>();
     private DrainStage mDrainStage = DrainStage.SERVING;
 
@@ -22,12 +23,14 @@
             WireFormat format,
             ConnectionBroker broker,
             AdmissionControl admission,
-            TrafficMetrics metrics) {
+            TrafficMetrics metrics,
+            StatementRunner runner) {
         mLoop = loop;
         mFormat = format;
         mBroker = broker;
         mAdmission = admission;
         mMetrics = metrics;
+        mRunner = runner;
     }
 
     EventLoop loop() {
@@ -50,6 +53,10 @@
         return mMetrics;
     }
 
+    StatementRunner runner() {
+        return mRunner;
+    }
+
     Set<CallerSession> sessions() {
         return mSessions;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
@@ -16,6 +16,9 @@
     private final MeterRegistry mRegistry;
     private final Counter mConnectionsOpening;
     private final Counter mConnectionsFailed;
+    private final Counter mOperationsPassed;
+    private final Counter mOperationsReceived;
+    private final Map<String, Counter> mOperationsKept = new HashMap<>();
     private final Map<String, Timer> mTimers = new HashMap<>();
     private final Map<String, Counter> mOutcomes = new HashMap<>();
 
@@ -24,6 +27,27 @@
         mRegistry = registry;
         mConnectionsOpening = registry.counter("plantainferry.connections.opened");
         mConnectionsFailed = registry.counter("plantainferry.connections.failed");
+        mOperationsPassed = registry.counter("plantainferry.operations.passed");
+        mOperationsReceived = registry.counter("plantainferry.operations.received");
+    }
+
+    /** Records an operation that was passed to another instance. */
+    void onOperationPassed() {
+        mOperationsPassed.increment();
+    }
+
+    /** Records an operation that another instance has passed to this one. */
+    void onOperationReceived() {
+        mOperationsReceived.increment();
+    }
+
+    /** Records an operation that was not passed on, though its service has hosts. */
+    void onOperationKept(String reason) {
+        mOperationsKept
+                .computeIfAbsent(
+                        reason,
+                        key -> mRegistry.counter("plantainferry.operations.kept", "reason", key))
+                .increment();
     }
 
     void onConnectionOpening() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,9 +20,14 @@
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.DatabaseRoute;
 import org.plantainferry.engine.freshness.TimedPosition;
+import org.plantainferry.engine.hosting.HostAssignments;
 import org.plantainferry.engine.placement.ReadPlacement;
 import org.plantainferry.engine.quota.LimitTolerance;
+import org.plantainferry.gateway.passing.HostLinks;
+import org.plantainferry.gateway.passing.PassingProtocol;
+import org.plantainferry.gateway.peer.PeerProtocol;
 import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.network.http.SocketAddresses;
 
@@ -47,6 +53,8 @@
     private final Supplier<FleetView> mView;
     private final ConnectionBroker mBroker;
     private final TrafficContext mContext;
+    private final HostLinks mLinks;
+    private final HostedOperations mHosted;
     private final List<ScheduledFuture<?>> mPeriodicTasks = new ArrayList<>();
     private Channel mListener;
 
@@ -78,7 +86,14 @@
         mLoop = loop;
         mSettings = settings;
         mClock = clock;
-        mGroups = new ServerGroupRegistry(loop, format, settings, clock, metrics, leaseGuard);
+        HostAssignments assignments =
+                new HostAssignments(
+                        settings.instance(),
+                        settings.failureDomain(),
+                        settings.experimental().hostMode());
+        mGroups =
+                new ServerGroupRegistry(
+                        loop, format, settings, clock, metrics, leaseGuard, assignments);
         LimitTolerance terms =
                 new LimitTolerance(
                         settings.rateWindowMillis() / 1_000.0,
@@ -109,7 +124,11 @@
                         peerPositions,
                         leaseGuard);
         mView = view;
-        mContext = new TrafficContext(loop, format, mBroker, admission, metrics);
+        mLinks = new HostLinks(loop, settings.instance(), settings.localAddress(), clock);
+        HostSelection hosts = new HostSelection(assignments, mLinks, metrics);
+        PassingRunner runner = new PassingRunner(mBroker, hosts);
+        mContext = new TrafficContext(loop, format, mBroker, admission, metrics, runner);
+        mHosted = new HostedOperations(mContext);
     }
 
     /** Opens the listener for callers and blocks until it is bound. */
@@ -163,12 +182,15 @@
         mLoop.execute(
                 () -> {
                     List.copyOf(mContext.sessions()).forEach(CallerSession::close);
+                    mLinks.close();
+                    mHosted.close();
                     mGroups.close();
                 });
     }
 
     private void cleanUp() {
         mGroups.closeIdleConnections();
+        mLinks.closeIdle();
         mLimits.discardRemovedWorkspaces();
     }
 
@@ -177,6 +199,26 @@
         mLoop.execute(() -> mGroups.applyView(view));
     }
 
+    /** Applies the list of the other instances. Safe to call from any thread. */
+    public void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
+        Map<String, String> addresses = new HashMap<>();
+        otherInstances.forEach((name, entry) -> addresses.put(name, entry.peerAddress()));
+        mLoop.execute(() -> mLinks.setAddresses(addresses));
+    }
+
+    /** Returns the protocol over which other instances pass operations to this one. */
+    public PeerProtocol passingProtocol() {
+        return new PassingProtocol(mLoop, mSettings.instance(), mHosted, mClock);
+    }
+
+    /**
+     * Refuses operations of other instances from now on, which serve them elsewhere. Safe to call
+     * from any thread.
+     */
+    public void stopHosting() {
+        mLoop.execute(mHosted::leave);
+    }
+
     /** Records the demand that another instance reported. Safe to call from any thread. */
     public void onDemandReport(String instance, Map<String, Double> demandPerSecond) {
         mLoop.execute(() -> mLimits.onDemandReport(instance, demandPerSecond));
@@ -257,6 +299,7 @@
                 () -> {
                     mContext.enter(DrainStage.ENDING_OPERATIONS);
                     List.copyOf(mContext.sessions()).forEach(CallerSession::endTransaction);
+                    mHosted.endTransactions();
                 });
     }
 
@@ -269,6 +312,7 @@
                 () -> {
                     mContext.enter(DrainStage.ENDING_STATEMENTS);
                     List.copyOf(mContext.sessions()).forEach(CallerSession::endStatement);
+                    mHosted.endStatements();
                 });
     }
 
@@ -278,8 +322,8 @@
     }
 
     /**
-     * Returns the number of sessions and open transactions. Blocks until the traffic thread has
-     * counted them.
+     * Returns the number of sessions, open transactions and operations of other instances. Blocks
+     * until the traffic thread has counted them.
      */
     public SessionCounts counts() {
         return mLoop.submit(this::countSessions).syncUninterruptibly().getNow();
@@ -288,6 +332,6 @@
     private SessionCounts countSessions() {
         int transactions =
                 (int) mContext.sessions().stream().filter(CallerSession::isInTransaction).count();
-        return new SessionCounts(mContext.sessions().size(), transactions);
+        return new SessionCounts(mContext.sessions().size(), transactions, mHosted.count());
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Transaction.java
@@ -13,7 +13,6 @@
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.statement.FailureCode;
-import org.plantainferry.gateway.statement.SessionMode;
 import org.plantainferry.gateway.statement.Statement;
 
 /**
@@ -23,7 +22,7 @@
  * the server rolls back, so the caller is told that nothing is kept. Not thread-safe: used by the
  * traffic thread only.
  */
-final class Transaction implements RunningStatement {
+final class Transaction implements OpenTransaction {
     private static final int MAX_ATTEMPTS = 4;
 
     private final ConnectionBroker mBroker;
@@ -46,23 +45,26 @@
                 mayUseReplica ? ConnectionPurpose.READ_TRANSACTION : ConnectionPurpose.TRANSACTION;
     }
 
-    OperationContext context() {
+    @Override
+    public OperationContext context() {
         return mContext;
     }
 
-    boolean isEnded() {
+    @Override
+    public boolean isEnded() {
         return mEnded;
     }
 
-    /** Runs a read or a write. The callback runs once. */
-    void run(String requestId, PreparedStatement statement, Consumer<OperationResult> callback) {
+    @Override
+    public void run(
+            String requestId, PreparedStatement statement, Consumer<OperationResult> callback) {
         PendingStatement pending = new PendingStatement(requestId, statement, callback);
         mHasWritten |= statement.writes();
         start(pending);
     }
 
-    /** Commits the transaction. The callback runs once. */
-    void commit(String requestId, Consumer<OperationResult> callback) {
+    @Override
+    public void commit(String requestId, Consumer<OperationResult> callback) {
         PreparedStatement commit =
                 new PreparedStatement(new Statement.Commit(), Optional.empty(), false);
         start(new PendingStatement(requestId, commit, callback));
@@ -72,7 +74,8 @@
      * Rolls back the transaction. A connection with a statement in progress is closed instead;
      * without a connection the transaction just ends. A second call does nothing.
      */
-    void rollBack() {
+    @Override
+    public void rollBack() {
         if (mEnded) {
             return;
         }
@@ -384,9 +387,4 @@
                 reason);
         prepared.connection().close(reason);
     }
-
-    /** Returns the session mode while this transaction is the current one of the session. */
-    SessionMode mode() {
-        return mEnded ? SessionMode.FAILED_TRANSACTION : SessionMode.TRANSACTION;
-    }
 }
--- a/plantainferry-network/src/main/java/org/plantainferry/network/http/TcpKeepAlive.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/http/TcpKeepAlive.java
@@ -1,6 +1,7 @@
 package org.plantainferry.network.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import jdk.net.ExtendedSocketOptions;
@@ -32,4 +33,14 @@
                         NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
                         UNANSWERED_PROBES);
     }
+
+    /** Enables keep-alive probes on an accepted connection. */
+    public static void configure(ChannelConfig config) {
+        config.setOption(ChannelOption.SO_KEEPALIVE, true);
+        config.setOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS);
+        config.setOption(
+                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS);
+        config.setOption(
+                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), UNANSWERED_PROBES);
+    }
 }
