--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/hosting/HostAssignments.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/hosting/HostAssignments.java
@@ -24,15 +24,19 @@
  */
 public final class HostAssignments {
     // Hosts for reads of other failure domains, and instances that reach no host, need the rest.
-    private static final double FIRST_HOST_FRACTION = 0.5;
-    private static final double LATER_HOST_FRACTION = 0.2;
-    private static final double OTHER_SERVER_FRACTION = 0.1;
+    private static final double PRIMARY_HOST_FRACTION = 0.5;
+    private static final double ALL_READ_HOSTS_FRACTION = 0.8;
+    private static final double MAX_READ_HOST_FRACTION = 0.4;
+    private static final double ALL_READ_HOSTS_ELSEWHERE_FRACTION = 0.3;
+    private static final double LATER_HOST_DIVISOR = 2;
     private static final long HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private final String mInstance;
     private final String mDomain;
     private final HostMode mMode;
     private final Map<String, Boolean> mConcentrated = new HashMap<>();
+    // The last known domains: while a primary is replaced, its work stays where it is.
+    private final Map<String, String> mPrimaryDomains = new HashMap<>();
     private RoutingConfiguration mConfiguration = RoutingConfiguration.EMPTY;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private HostRanking mRanking;
@@ -82,8 +86,9 @@
 
     /** Returns the hosts for the work of the primary of a service, the first choice first. */
     public List<String> primaryHosts(String service) {
-        return mRanking.forPrimary(
-                service, mCatalog.primary(service).map(CatalogServer::failureDomain));
+        mCatalog.primary(service)
+                .ifPresent(primary -> mPrimaryDomains.put(service, primary.failureDomain()));
+        return mRanking.forPrimary(service, Optional.ofNullable(mPrimaryDomains.get(service)));
     }
 
     /** Returns the hosts for reads that replicas may answer, the first choice first. */
@@ -107,8 +112,10 @@
         if (!isConcentrated(service)) {
             return planned;
         }
-        double asPrimaryHost = fraction(primaryHosts(service));
-        double asReadHost = fraction(readHosts(service));
+        double asPrimaryHost = PRIMARY_HOST_FRACTION * weight(primaryHosts(service));
+        double asReadHost = readFraction(planned) * weight(readHosts(service));
+        long domains = mRanking.domains().values().stream().distinct().count();
+        double elsewhere = Math.min(asReadHost, ALL_READ_HOSTS_ELSEWHERE_FRACTION / domains);
         if (asPrimaryHost == 0 && asReadHost == 0) {
             return planned;
         }
@@ -118,8 +125,7 @@
         for (String server : planned.limits().keySet()) {
             boolean isPrimary = primary.equals(Optional.of(server));
             boolean isPreferred = planned.preferredReplica().equals(Optional.of(server));
-            double asReader =
-                    isPreferred ? asReadHost : Math.min(asReadHost, OTHER_SERVER_FRACTION);
+            double asReader = isPreferred ? asReadHost : elsewhere;
             double fraction = Math.max(asReader, isPrimary ? asPrimaryHost : 0);
             if (fraction > 0) {
                 limits.merge(server, (int) (connectionLimit * fraction), Math::max);
@@ -129,12 +135,19 @@
         return new GroupConnections(limits, idle, planned.preferredReplica());
     }
 
-    /** Returns the part of a server's connections that this instance may use as one of hosts. */
-    private double fraction(List<String> hosts) {
+    /** Returns the part of the connections of its replica that the first host for reads may use. */
+    private double readFraction(GroupConnections planned) {
+        int replicas = Math.max(1, planned.limits().size() - 1);
+        long domains = mRanking.domains().values().stream().distinct().count();
+        return Math.min(MAX_READ_HOST_FRACTION, ALL_READ_HOSTS_FRACTION * replicas / domains);
+    }
+
+    /** Returns how this instance counts as one of the hosts; 0 if it is none. */
+    private double weight(List<String> hosts) {
         int rank = hosts.indexOf(mInstance);
         if (rank < 0) {
             return 0;
         }
-        return rank == 0 ? FIRST_HOST_FRACTION : LATER_HOST_FRACTION;
+        return rank == 0 ? 1 : 1 / LATER_HOST_DIVISOR;
     }
 }
