--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -207,7 +207,7 @@
      * @return the milliseconds after which the operators' listener is to open
      */
     private long warmUpOrYield() {
-        if (mTraffic.counts().sessions() > 0) {
+        if (!mTraffic.counts().isEmpty()) {
             return BUSY_OPERATOR_ENDPOINT_DELAY_MILLIS;
         }
         new WarmUp(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/AcceptedLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/AcceptedLink.java
@@ -63,6 +63,11 @@
         return mUnwrittenMessages > 0 && !mEnded;
     }
 
+    /** Returns whether an answer is short enough to be sent. */
+    public static boolean fits(PassedAnswer answer) {
+        return answer.getSerializedSize() <= PassingChannels.MAX_CONTENT_BYTES;
+    }
+
     /** Answers the statement in progress of an operation. */
     public void answer(long operation, PassedAnswer answer) {
         mOwed.remove(operation);
@@ -144,7 +149,9 @@
                 mHost.onEnd(this, operation, message.getEnd().getReason());
             }
             default -> {
-                if (operation != 0) {
+                // About a statement in progress, a refusal would be untrue.
+                if (operation != 0 && !mOwed.contains(operation)) {
+                    mHost.onEnd(this, operation, "the content is unknown");
                     refuse(operation, "the content is unknown");
                 }
             }
@@ -166,7 +173,9 @@
             refuse(message.getOperation(), "the statement was on its way for too long");
             return false;
         }
-        if (mOwed.size() >= PassingChannels.MAX_AWAITED_OPERATIONS || !isWritable()) {
+        boolean isFull = mOwed.size() >= PassingChannels.MAX_AWAITED_OPERATIONS || !isWritable();
+        // The next statement of a transaction can run nowhere else.
+        if (message.hasStart() && isFull) {
             refuse(message.getOperation(), "the link is full");
             return false;
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/HostLink.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/HostLink.java
@@ -141,6 +141,11 @@
                 && mChannel.filter(Channel::isWritable).isPresent();
     }
 
+    /** Returns whether a message with a content of this size may be passed. */
+    public static boolean fits(int contentBytes) {
+        return contentBytes <= PassingChannels.MAX_CONTENT_BYTES;
+    }
+
     /**
      * Passes an operation with its first statement.
      *
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/PassingChannels.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/passing/PassingChannels.java
@@ -15,6 +15,9 @@
     /** The maximum size of a message; exceeds that of a statement and of a row. */
     static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
 
+    /** The maximum size of the content of a message. */
+    static final int MAX_CONTENT_BYTES = MAX_MESSAGE_BYTES - 1_024;
+
     /** The maximum number of operations whose answers are awaited on one link. */
     static final int MAX_AWAITED_OPERATIONS = 512;
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/HostedOperations.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/HostedOperations.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.plantainferry.api.PlantainferryException;
 import org.plantainferry.engine.catalog.ReadGuarantee;
 import org.plantainferry.gateway.passing.AcceptedLink;
 import org.plantainferry.gateway.passing.OperationHost;
@@ -22,9 +23,6 @@
  */
 final class HostedOperations implements OperationHost {
     private static final String SHUT_DOWN = "the instance shuts down";
-    // Bounds the rows of an answer well below the size of a message, whose characters may be
-    // longer.
-    private static final long MAX_ANSWER_BYTES = 2 * 1024 * 1024 - 4_096;
 
     private final TrafficContext mTraffic;
     private final LocalRunner mRunner;
@@ -76,7 +74,7 @@
     private Optional<OperationContext> decode(PassedOperation start) {
         try {
             return Optional.of(PassingCodec.context(start, mTraffic.broker().now()));
-        } catch (IllegalArgumentException e) {
+        } catch (IllegalArgumentException | PlantainferryException e) {
             // A value of a later version.
             return Optional.empty();
         }
@@ -146,7 +144,7 @@
                         result,
                         context.positions().of(context.route().service()),
                         operation.isEnded());
-        if (answer.getSerializedSize() <= MAX_ANSWER_BYTES) {
+        if (AcceptedLink.fits(answer)) {
             return answer;
         }
         operation.stop("the answer is too long");
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PassedStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PassedStatement.java
@@ -8,6 +8,7 @@
 import org.plantainferry.gateway.passing.HostLink;
 import org.plantainferry.gateway.passing.PassedOperationListener;
 import org.plantainferry.gateway.peer.generated.PassedAnswer;
+import org.plantainferry.gateway.peer.generated.PassedOperation;
 import org.plantainferry.gateway.statement.FailureCode;
 
 /**
@@ -55,12 +56,15 @@
         mDeadlineNanos = now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         mDeadlineTimer =
                 mBroker.schedule(timeoutMillis, () -> end("the host did not answer in time"));
-        mNumber =
-                mLink.start(
-                        PassingCodec.operation(mContext, now)
-                                .setStep(PassingCodec.step(mContext, mRequestId, mStatement))
-                                .build(),
-                        this);
+        PassedOperation operation =
+                PassingCodec.operation(mContext, now)
+                        .setStep(PassingCodec.step(mContext, mRequestId, mStatement))
+                        .build();
+        if (!HostLink.fits(operation.getSerializedSize())) {
+            runHere("the statement is too long to be passed on", false);
+            return;
+        }
+        mNumber = mLink.start(operation, this);
     }
 
     @Override
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PassedTransaction.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PassedTransaction.java
@@ -114,17 +114,27 @@
                         () -> end("the host did not answer in time"));
         mPending = Optional.of(new PendingStatement(requestId, statement, callback, now, timer));
         PassedStep step = PassingCodec.step(mContext, requestId, statement);
-        if (!isFirst) {
+        if (!HostLink.fits(step.getSerializedSize())) {
+            refuseToPass(isFirst);
+        } else if (isFirst) {
+            PassedOperation operation =
+                    PassingCodec.operation(mContext, now)
+                            .setTransaction(true)
+                            .setReadOnly(mReadOnly)
+                            .setStep(step)
+                            .build();
+            mNumber = mLink.get().start(operation, this);
+        } else {
             mLink.get().step(mNumber, step);
-            return;
         }
-        PassedOperation operation =
-                PassingCodec.operation(mContext, now)
-                        .setTransaction(true)
-                        .setReadOnly(mReadOnly)
-                        .setStep(step)
-                        .build();
-        mNumber = mLink.get().start(operation, this);
+    }
+
+    private void refuseToPass(boolean isFirst) {
+        if (isFirst) {
+            onRefusal("the statement is too long to be passed on");
+        } else {
+            end("the statement is too long to be passed on");
+        }
     }
 
     private void runHere(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -170,9 +170,9 @@
         return (InetSocketAddress) mListener.localAddress();
     }
 
-    /** Returns whether no session is open; for the traffic thread only. */
+    /** Returns whether no session is open and nothing is hosted; for the traffic thread only. */
     public boolean hasNoSessions() {
-        return mContext.sessions().isEmpty();
+        return mContext.sessions().isEmpty() && mHosted.count() == 0;
     }
 
     /** Closes the listener, all sessions and all connections to servers. */
