--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -22,7 +22,7 @@
  *
  * <p>Not thread-safe: used by the traffic thread only.
  */
-final class SingleStatement implements RunningStatement {
+final class SingleStatement implements SingleOperation {
     private static final int MAX_ATTEMPTS = 6;
     private static final long RETRY_AFTER_MILLIS = 150;
     private static final String CALLER_LEFT = "the caller has left";
@@ -76,7 +76,13 @@
                 : ConnectionPurpose.READ;
     }
 
-    void start() {
+    /** Makes a refusal say that the statement may have run, because another instance had it. */
+    void assumeMayHaveRun() {
+        mMayHaveRun = true;
+    }
+
+    @Override
+    public void start() {
         mDeadlineTimer =
                 mBroker.schedule(mContext.route().statementTimeoutMillis(), this::onDeadline);
         group().secondAttempts().onFirstAttempt(mArrivedNanos);
