Concentrate statements where each connection would be used too rarely

Cause: the criterion compared workspaces with the connections that a server accepts. Change: ContentionPolicy.concentrates compares the configured rates with the number of instances, workspaces and services.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/hosting/HostAssignments.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/hosting/HostAssignments.java
@@ -80,8 +80,7 @@
         if (group == null || instances == 1) {
             return false;
         }
-        return mMode == HostMode.ALWAYS
-                || ContentionPolicy.concentrates(mConfiguration, instances, group);
+        return mMode == HostMode.ALWAYS || ContentionPolicy.concentrates(mConfiguration, instances);
     }
 
     /** Returns the hosts for the work of the primary of a service, the first choice first. */
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/scheduling/ContentionPolicy.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/scheduling/ContentionPolicy.java
@@ -1,41 +1,36 @@
 package org.plantainferry.engine.scheduling;
 
-import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
+import org.plantainferry.engine.catalog.WorkspaceLimit;
 
 /**
  * Tells from a configuration and the size of the fleet which decisions about scarce room it calls
- * for. Without them, statements are served as they arrive.
+ * for.
  *
  * @since 0.4
  */
 public final class ContentionPolicy {
-    // Each connection belongs to one workspace. Below this number of workspaces for each connection
-    // of an instance, an instance rarely closes a connection of one workspace for another.
-    private static final double MIN_WORKSPACES_PER_CONNECTION = 25;
+    // Between statements at greater intervals, a connection idles for so long that it is closed for
+    // another workspace, or that the fleet holds many more connections than it uses.
+    private static final double MIN_STATEMENTS_PER_SECOND = 0.25;
 
     private ContentionPolicy() {}
 
-    /** Returns whether routes differ in priority, so that waiting statements are ordered by it. */
-    public static boolean ordersByPriority(RoutingConfiguration configuration) {
-        return configuration.routes().values().stream()
-                        .mapToInt(route -> route.priority())
-                        .distinct()
-                        .count()
-                > 1;
-    }
-
     /**
-     * Returns whether the servers of a service accept so few connections that the instances must
-     * concentrate the statements for it.
+     * Returns whether the instances must concentrate the statements for a service, because each of
+     * them would use a connection of a workspace too rarely.
+     *
+     * <p>Assumes that the workspaces use up their rates, on all services and instances alike.
      *
      * @param instances the number of instances, including this one
-     * @param group the configuration of the service
      */
-    public static boolean concentrates(
-            RoutingConfiguration configuration, int instances, GroupSettings group) {
-        double connectionsPerInstance = (double) group.maximumConnections() / instances;
-        int workspaces = configuration.limits().size();
-        return workspaces / connectionsPerInstance >= MIN_WORKSPACES_PER_CONNECTION;
+    public static boolean concentrates(RoutingConfiguration configuration, int instances) {
+        double rate =
+                configuration.limits().values().stream()
+                        .mapToDouble(WorkspaceLimit::ratePerSecond)
+                        .sum();
+        double connections =
+                (double) instances * configuration.limits().size() * configuration.groups().size();
+        return rate < MIN_STATEMENTS_PER_SECOND * connections;
     }
 }
