--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/ApplyCommand.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/ApplyCommand.java
@@ -3,14 +3,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import org.plantainferry.api.ErrorCode;
-import org.plantainferry.api.PlantainferryException;
-import org.plantainferry.api.configuration.ReleaseNote;
-import org.plantainferry.api.json.Json;
 
 /** Applies a release note from a file, or shows what it would change. */
 @Parameters(commandDescription = "Applies a release note, or shows what it would change")
@@ -29,19 +21,11 @@
 
     @Override
     public Outcome run(CommandContext context) {
-        ReleaseNote note;
-        try {
-            note =
-                    Json.readWithComments(
-                            Files.readString(Path.of(mFile), StandardCharsets.UTF_8),
-                            ReleaseNote.class,
-                            ErrorCode.CONFIGURATION_INVALID);
-        } catch (IOException | PlantainferryException | IllegalArgumentException e) {
-            return Outcome.badUsage(
-                    "Cannot read the release note " + mFile + ": " + reason(e),
-                    "correct the file, and run the command again.");
+        ReleaseNoteFile file = ReleaseNoteFile.read(mFile);
+        if (file.note().isEmpty()) {
+            return file.failure().orElseThrow();
         }
-        ReleaseNoteSource source = ReleaseNoteSource.fixed(note);
+        ReleaseNoteSource source = ReleaseNoteSource.fixed(file.note().get());
         ConfigurationEditor editor = context.openEditor();
         return EditOutcomes.of(
                 mDryRun ? editor.preview(source) : editor.apply(source),
@@ -52,10 +36,4 @@
     public String example() {
         return "plantainferry --store 10.0.0.5:7400 apply add-workspace.json --dry-run";
     }
-
-    private static String reason(Exception error) {
-        return error instanceof IOException
-                ? error.getClass().getSimpleName() + " " + error.getMessage()
-                : error.getMessage();
-    }
 }
