Keep room that is not used, and describe how the capacity of servers is learned

Cause: a limit shrank on waits that other instances caused, down to 1, so a later burst of this instance waited although the server had room. An instance that sends for all others learned with the caution that is meant for many senders, which costs throughput at each measurement. Change: a limit shrinks on waits only while more than half of it is used. Where statements are passed to a host, one sender is assumed for each server.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/LearnedServerRoom.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/LearnedServerRoom.java
@@ -15,8 +15,9 @@
  * that take longer than the two explain have waited. The limit grows while it is used up and
  * nothing waits, and shrinks when more than one or two statements wait.
  *
- * <p>All estimates weigh short durations more than long ones, because waiting and disturbances only
- * add to a duration.
+ * <p>While the limit is used up for long, it is lowered from time to time for a moment, so that the
+ * time without waiting stays known. Where several instances send to the server, a longer duration
+ * counts for less, because it may be due to their work.
  *
  * @since 0.4
  */
@@ -126,7 +127,7 @@
         known.ifPresent(nanos -> learnSpeed(elapsedNanos / nanos, concurrency, nowNanos));
         learnKind(kind, elapsedNanos, isCrowded(concurrency));
         if (isOwnWork) {
-            adapt(isFull, elapsedNanos, nowNanos);
+            adapt(isFull, concurrency, elapsedNanos, nowNanos);
         }
     }
 
@@ -178,14 +179,16 @@
         }
     }
 
-    private void adapt(boolean isFull, long elapsedNanos, long nowNanos) {
+    private void adapt(boolean isFull, int concurrency, long elapsedNanos, long nowNanos) {
         if (isMeasuring(nowNanos)) {
             return;
         }
         mMeasuringSamples = 0;
         double shrinkAbove = Math.max(MIN_SHRINK_QUEUEING, 1 + SHRINK_WAITING / mSlots);
         double growBelow = Math.max(MIN_GROWTH_QUEUEING, 1 + GROWTH_WAITING / mSlots);
-        if (mQueueing > shrinkAbove) {
+        // A limit that is hardly used does not cause the wait.
+        boolean isUsed = 2 * concurrency > mLimit.value();
+        if (mQueueing > shrinkAbove && isUsed) {
             double factor = Math.min(MAX_SHRINK_FACTOR, shrinkAbove / mQueueing);
             // Answers to statements that were sent before a change do not reflect it.
             long interval = Math.max(MIN_SHRINK_INTERVAL_NANOS, elapsedNanos);
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/capacity/LearnedServerRoomTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/capacity/LearnedServerRoomTest.java
@@ -285,4 +285,15 @@
         assertTrue(room.takeChange(mTime.now()).orElseThrow().slowness() >= 2);
         assertTrue(room.takeChange(mTime.now()).isEmpty());
     }
+
+    /**
+     * Load: single statements that wait behind the work of others; a burst must still find room.
+     */
+    @Test
+    public void keepsRoomThatItDoesNotUse() {
+        LearnedServerRoom room = room(SLOTS, SLOTS);
+        answer(room, WRITE, Outcome.ANSWERED, 20, 20);
+        answer(room, WRITE, Outcome.ANSWERED, 70, 10);
+        assertEquals(room.limit(mTime.now()), SLOTS);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -19,6 +19,7 @@
 import org.plantainferry.engine.placement.ConnectionPlan;
 import org.plantainferry.engine.placement.GroupConnections;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.engine.scheduling.ContentionPolicy;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
@@ -42,13 +43,14 @@
     private final String mFailureDomain;
     private final String mLocalAddress;
     private final boolean mLearnsRoom;
+    private final String mStatementHosts;
     private final long mLeavingPrimaryNanos;
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
     private final PrimaryLeaseGuard mLeaseGuard;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
     private final EvacuatedDomains mEvacuatedDomains;
-    private int mInstances = 1;
+    private final Map<String, Integer> mSenders = new HashMap<>();
 
     ServerGroupRegistry(
             EventLoop loop,
@@ -63,6 +65,7 @@
         mFailureDomain = settings.failureDomain();
         mLocalAddress = settings.localAddress();
         mLearnsRoom = settings.experimental().serverRoom().equals(ExperimentalSettings.LEARNED);
+        mStatementHosts = settings.experimental().statementHosts();
         mLeavingPrimaryNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
@@ -87,9 +90,9 @@
         mEvacuatedDomains.onDomains(view.evacuatedDomains(), mClock.getAsLong());
         Map<String, String> domains = new HashMap<>(view.otherInstanceDomains());
         domains.put(mInstance, mFailureDomain);
-        mInstances = domains.size();
         ConnectionPlan plan = new ConnectionPlan(mInstance, domains);
         Set<String> present = new HashSet<>();
+        mSenders.clear();
         for (String service : view.catalog().services()) {
             applyService(view, plan, service, present);
         }
@@ -111,6 +114,8 @@
         GroupSettings settings = view.configuration().groups().get(service);
         int connections =
                 settings == null ? DEFAULT_MAX_CONNECTIONS : settings.maximumConnections();
+        int instances = view.otherInstanceDomains().size() + 1;
+        mSenders.put(service, isConcentrated(view, settings, instances) ? 1 : instances);
         List<CatalogServer> servers = view.catalog().servers(service);
         Optional<String> primary = view.catalog().primary(service).map(CatalogServer::id);
         List<CatalogServer> usableServers =
@@ -135,6 +140,18 @@
         group(service).setPreferredReplica(planned.preferredReplica());
     }
 
+    /** Returns whether one instance sends nearly all statements for a server. */
+    private boolean isConcentrated(FleetView view, GroupSettings settings, int instances) {
+        return switch (mStatementHosts) {
+            case ExperimentalSettings.ALWAYS -> true;
+            case ExperimentalSettings.NEVER -> false;
+            default ->
+                    settings != null
+                            && ContentionPolicy.concentrates(
+                                    view.configuration(), instances, settings);
+        };
+    }
+
     private static boolean isPrimary(CatalogServer server, Optional<String> primary) {
         return primary.equals(Optional.of(server.id()));
     }
@@ -176,7 +193,7 @@
         int slots = Math.max(1, server.slots());
         return new LearnedServerRoom(
                 slots,
-                Math.max(1, slots / mInstances),
+                Math.max(1, slots / mSenders.getOrDefault(server.service(), 1)),
                 group(server.service()).workTimes(),
                 mClock.getAsLong());
     }
