Make the test of unused room show the fault

Cause: keepsRoomThatItDoesNotUse passed also without the rule that it guards, because few answers at the start were taken for the time of the kind itself, so no wait was seen. Change: the room has seen 100 answers and shares the server with others before the waits begin.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/capacity/LearnedServerRoomTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/capacity/LearnedServerRoomTest.java
@@ -291,9 +291,22 @@
      */
     @Test
     public void keepsRoomThatItDoesNotUse() {
-        LearnedServerRoom room = room(SLOTS, SLOTS);
-        answer(room, WRITE, Outcome.ANSWERED, 20, 20);
-        answer(room, WRITE, Outcome.ANSWERED, 70, 10);
-        assertEquals(room.limit(mTime.now()), SLOTS);
+        LearnedServerRoom room = room(SLOTS, 1);
+        answer(room, WRITE, Outcome.ANSWERED, 20, 100);
+        while (room.limit(mTime.now()) < SLOTS) {
+            int together = room.limit(mTime.now());
+            long sent = mTime.now();
+            for (int index = 0; index < together; index++) {
+                room.onSent(WRITE, sent);
+            }
+            mTime.runForMillis(20);
+            for (int index = 0; index < together; index++) {
+                room.onEnded(WRITE, Outcome.ANSWERED, mTime.now() - sent, mTime.now());
+            }
+        }
+        int limit = room.limit(mTime.now());
+        answer(room, WRITE, Outcome.ANSWERED, 80, 10);
+        assertTrue(room.snapshot().orElseThrow().queueing() > 1.5, room.snapshot().toString());
+        assertEquals(room.limit(mTime.now()), limit);
     }
 }
