--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -52,7 +52,7 @@
     private final HostAssignments mHosts;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
     private final EvacuatedDomains mEvacuatedDomains;
-    private int mInstances = 1;
+    private final Map<String, Integer> mSenders = new HashMap<>();
 
     ServerGroupRegistry(
             EventLoop loop,
@@ -98,9 +98,9 @@
         mEvacuatedDomains.onDomains(view.evacuatedDomains(), mClock.getAsLong());
         Map<String, String> domains = new HashMap<>(view.otherInstanceDomains());
         domains.put(mInstance, mFailureDomain);
-        mInstances = domains.size();
         ConnectionPlan plan = new ConnectionPlan(mInstance, domains);
         Set<String> present = new HashSet<>();
+        mSenders.clear();
         for (String service : view.catalog().services()) {
             applyService(view, plan, service, present);
         }
@@ -123,6 +123,9 @@
         GroupSettings settings = view.configuration().groups().get(service);
         int connections =
                 settings == null ? DEFAULT_MAX_CONNECTIONS : settings.maximumConnections();
+        int instances = view.otherInstanceDomains().size() + 1;
+        // Where statements go to hosts, one instance sends nearly all of them.
+        mSenders.put(service, mHosts.isConcentrated(service) ? 1 : instances);
         List<CatalogServer> servers = view.catalog().servers(service);
         Optional<String> primary = view.catalog().primary(service).map(CatalogServer::id);
         List<CatalogServer> usableServers =
@@ -189,7 +192,7 @@
         int slots = Math.max(1, server.slots());
         return new LearnedServerRoom(
                 slots,
-                Math.max(1, slots / mInstances),
+                Math.max(1, slots / mSenders.getOrDefault(server.service(), 1)),
                 group(server.service()).workTimes(),
                 mClock.getAsLong());
     }
