--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -261,8 +261,8 @@
             return waiter;
         }
         // Room that the end of a statement has left belongs to those who wait already.
-        boolean hasRoom = !mWaiters.isDispatchScheduled() && inProgress() < limit();
-        Optional<ServerConnection> idle = hasRoom ? takeIdle(request) : Optional.empty();
+        boolean mayTake = !mWaiters.isDispatchScheduled() && hasRoom();
+        Optional<ServerConnection> idle = mayTake ? takeIdle(request) : Optional.empty();
         if (idle.isPresent()) {
             grant(waiter, idle.get());
         } else {
@@ -297,6 +297,11 @@
         waiter.accept(PooledConnectionResult.granted(connection));
     }
 
+    @Override
+    public boolean hasRoom() {
+        return inProgress() < limit();
+    }
+
     @Override
     public DispatchState dispatchState() {
         mIdleConnections.removeIf(connection -> !connection.isOpen());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WaiterDispatcher.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/WaiterDispatcher.java
@@ -46,6 +46,9 @@
 
     /** Gives access to the connections of the pool. */
     interface Connections {
+        /** Returns whether another statement may be in progress; cheaper than the whole state. */
+        boolean hasRoom();
+
         /** Returns the room and the connections. */
         DispatchState dispatchState();
 
@@ -88,7 +91,7 @@
     /** Serves the waiting requests as far as room and connections permit. */
     void dispatch() {
         boolean canContinue = true;
-        while (canContinue && mQueue.size() > 0) {
+        while (canContinue && mQueue.size() > 0 && mConnections.hasRoom()) {
             Optional<DispatchStep<ConnectionWaiter>> step =
                     mDispatch.next(mConnections.dispatchState(), mClock.getAsLong());
             canContinue = step.isPresent();
@@ -133,10 +136,11 @@
 
     private void sweep() {
         mSweepScheduled = false;
+        // First, because it may find expired requests, after which nothing may be left to sweep.
+        dispatch();
         long now = mClock.getAsLong();
         refuseAll(mQueue.removeExpired(now), EXPIRED);
         refuseAll(mQueue.removeHopeless(now), HOPELESS);
-        dispatch();
     }
 
     private void refuseAll(List<ConnectionWaiter> waiters, String reason) {
