Send nothing that has waited to a server that has been leaving for long

A leaving primary gets no new work after the drain time less a margin, but a statement that had chosen it before could wait in its queue for up to nine tenths of its timeout, and was sent whenever room became free. With a limited room such waits are common. The pool now ends them at that time, and the statements look for another server.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -45,7 +45,7 @@
     private final String mFailureDomain;
     private final String mLocalAddress;
     private final boolean mLearnsRoom;
-    private final long mLeavingPrimaryNanos;
+    private final long mLeavingNanos;
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
     private final PrimaryLeaseGuard mLeaseGuard;
@@ -68,7 +68,7 @@
         mFailureDomain = settings.failureDomain();
         mLocalAddress = settings.localAddress();
         mLearnsRoom = settings.experimental().serverRoom().equals(ExperimentalSettings.LEARNED);
-        mLeavingPrimaryNanos =
+        mLeavingNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         Math.max(0, settings.serverDrainMillis() - LEAVING_MARGIN_MILLIS));
         mEvacuatedDomains =
@@ -86,7 +86,7 @@
     private ServerGroup createGroup(String service) {
         long now = mClock.getAsLong();
         return new ServerGroup(
-                mLeavingPrimaryNanos,
+                mLeavingNanos,
                 server -> mLeaseGuard.mayUseAsPrimary(service, server),
                 new SecondAttemptPolicy(new RetryBudget(now), now),
                 mMetrics.load());
@@ -177,6 +177,7 @@
                         server,
                         health,
                         room(server),
+                        mLeavingNanos,
                         mMetrics);
         pools.put(server.id(), pool);
         return pool;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerReply.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.plantainferry.api.session.LogPosition;
+import org.plantainferry.engine.capacity.ServerRoom;
 import org.plantainferry.engine.retry.FailureCause;
 import org.plantainferry.gateway.statement.FailureCode;
 import org.plantainferry.gateway.statement.SessionMode;
@@ -97,6 +98,14 @@
         return kind == Kind.FAILED && code == FailureCode.BUSY;
     }
 
+    /** Returns what the end of the statement tells about the room of the server. */
+    ServerRoom.Outcome outcome() {
+        if (isDone()) {
+            return ServerRoom.Outcome.ANSWERED;
+        }
+        return isOverload() ? ServerRoom.Outcome.BUSY : ServerRoom.Outcome.FAILED;
+    }
+
     /** Returns why the statement has no result; the statement must not have succeeded. */
     FailureCause failureCause() {
         if (kind == Kind.NOT_SENT) {
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/LineServer.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/LineServer.java
@@ -110,6 +110,11 @@
         mRefusals.set(count);
     }
 
+    /** Returns how many of those connections the server has yet to refuse. */
+    int refusalsLeft() {
+        return mRefusals.get();
+    }
+
     /** Returns the greatest number of reads that were in progress at a time. */
     int maxConcurrency() {
         return mMaxConcurrency.get();
