Close the connections of unanswered attempts at the deadline, and no others

A read that another server had answered cancelled its deadline, so the attempt at a silent server stayed in progress for good and took its room. At the deadline of a statement with two attempts, the connection of the last one was closed even if its server had answered and the connection had been released, perhaps to another statement; the silent one stayed open. Now the deadline stays until all attempts have ended, and closes just the connections of those that have not.

LimitedRoomEndToEndTest.aServerThatNeverAnswersAReadGetsItsRoomBack was red before; the class covers the limited room end to end.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -38,11 +38,12 @@
     private final ConnectionPurpose mPurpose;
     private final Set<String> mExcluded = new HashSet<>();
     private final List<ConnectionAcquisition> mAcquisitions = new ArrayList<>(1);
+    // The connections of the attempts that have no answer yet.
+    private final List<ServerConnection> mUnanswered = new ArrayList<>(1);
     private PreparedConnection mLastSentOn;
     private long mLastSentNanos;
     private int mAttempts;
     private int mPendingAttempts;
-    private int mUnansweredSends;
     private boolean mFinished;
     private boolean mCallerLeft;
     private boolean mMayHaveRun;
@@ -163,7 +164,7 @@
             mContext.recordSent(group().loadMetrics(), mRequestId, prepared, sent - mArrivedNanos);
         }
         mLastSentOn = prepared;
-        mUnansweredSends++;
+        mUnanswered.add(prepared.connection());
         mLastSentNanos = sent;
         prepared.pool().onStatementSent(mContext.workKind(mStatement), sent);
         mBroker.send(
@@ -178,7 +179,10 @@
 
     private void onReply(PreparedConnection prepared, long sentNanos, ServerReply reply) {
         mPendingAttempts--;
-        mUnansweredSends--;
+        mUnanswered.remove(prepared.connection());
+        if (mFinished && mUnanswered.isEmpty()) {
+            mDeadlineTimer.cancel(false);
+        }
         long now = mBroker.now();
         prepared.pool().onStatementEnded(mContext.workKind(mStatement), reply, now - sentNanos);
         group().secondAttempts().onAnswer(reply.isOverload(), now);
@@ -297,7 +301,7 @@
         if (mFinished || mPendingAttempts != 1 || !mayHedge()) {
             return;
         }
-        if (mUnansweredSends == 1) {
+        if (mUnanswered.size() == 1) {
             avoidSilentServer();
         }
         group().secondAttempts().onHedge(mBroker.now());
@@ -322,7 +326,12 @@
 
     private void onDeadline() {
         String silence = "the server did not answer in time";
-        end(mUnansweredSends == 0 ? "no server was free in time" : silence, RETRY_AFTER_MILLIS);
+        if (mFinished) {
+            // Another server has answered, but the room of a silent one must become free.
+            closeUnanswered(silence);
+            return;
+        }
+        end(mUnanswered.isEmpty() ? "no server was free in time" : silence, RETRY_AFTER_MILLIS);
     }
 
     @Override
@@ -333,7 +342,7 @@
     @Override
     public void onCallerLeft() {
         mCallerLeft = true;
-        if (mUnansweredSends == 0) {
+        if (mUnanswered.isEmpty()) {
             end(CALLER_LEFT, 0);
         }
     }
@@ -347,15 +356,18 @@
         if (mFinished) {
             return;
         }
-        if (mUnansweredSends == 0) {
+        if (mUnanswered.isEmpty()) {
             recordRefusal(reason);
             finish(refusalResult(reason, retryAfterMillis));
             return;
         }
         mLastReason = reason;
-        PreparedConnection last = mLastSentOn;
-        fail(last, FailureCode.TIMED_OUT, retryAfterMillis);
-        last.connection().close(mLastReason);
+        fail(mLastSentOn, FailureCode.TIMED_OUT, retryAfterMillis);
+        closeUnanswered(reason);
+    }
+
+    private void closeUnanswered(String reason) {
+        List.copyOf(mUnanswered).forEach(connection -> connection.close(reason));
     }
 
     private void finish(OperationResult result) {
@@ -363,7 +375,9 @@
             return;
         }
         mFinished = true;
-        mDeadlineTimer.cancel(false);
+        if (mUnanswered.isEmpty()) {
+            mDeadlineTimer.cancel(false);
+        }
         mHedgeTimer.ifPresent(hedge -> hedge.cancel(false));
         mAcquisitions.forEach(ConnectionAcquisition::cancel);
         mCallback.accept(result);
