--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/OperatorEndpoint.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/OperatorEndpoint.java
@@ -1,6 +1,7 @@
 package org.plantainferry.gateway;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.BlockingHandler;
 import io.undertow.server.handlers.PathHandler;
@@ -8,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.network.http.SocketAddresses;
+import org.xnio.Options;
 
 /**
  * Serves health checks to the load balancer and metrics to operators.
@@ -18,6 +20,12 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
+    // Requests to operators have short headers and no bodies.
+    private static final int MAX_REQUEST_BYTES = 16 * 1024;
+    private static final int REQUEST_TIMEOUT_MILLIS = 2_000;
+    private static final int IDLE_TIMEOUT_MILLIS = 10_000;
+    private static final int MAX_CONNECTIONS = 256;
+
     private final Undertow mServer;
 
     OperatorEndpoint(String address, BooleanSupplier ready, Supplier<String> metrics) {
@@ -37,6 +45,13 @@
                 Undertow.builder()
                         .setIoThreads(1)
                         .setWorkerThreads(1)
+                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_REQUEST_BYTES)
+                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_REQUEST_BYTES)
+                        .setServerOption(
+                                UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_TIMEOUT_MILLIS)
+                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                        .setSocketOption(Options.CONNECTION_LOW_WATER, MAX_CONNECTIONS)
+                        .setSocketOption(Options.CONNECTION_HIGH_WATER, MAX_CONNECTIONS)
                         .addHttpListener(listener.getPort(), listener.getHostString())
                         .setHandler(paths)
                         .build();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
@@ -47,7 +47,7 @@
 
     @Override
     public void accept(Channel channel, String argument) {
-        FeedChannels.build(channel.pipeline(), new SubscriptionHandler());
+        FeedChannels.buildForSubscriptions(channel.pipeline(), new SubscriptionHandler());
     }
 
     private void onSubscription(Channel channel, FeedSubscription subscription) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -130,6 +130,19 @@
             6307,
             Logger.Level.WARN,
             "answer-mismatched server=%s workspace=%s statement=%s reason=\"%s\""),
+    /** Connections were closed because they held too much of the memory of the process. */
+    CONNECTIONS_CLOSED_FOR_MEMORY(
+            6350,
+            Logger.Level.WARN,
+            "connections-closed count=%s reason=%s held-bytes=%s limit-bytes=%s"),
+    /** The process was refused memory; connections are closed to make room. */
+    MEMORY_REFUSED(6351, Logger.Level.ERROR, "memory-refused held-bytes=%s error=\"%s\""),
+    /** A caller was disconnected because it does not read its answers. */
+    CALLER_NOT_READING(6352, Logger.Level.WARN, "caller-not-reading unread-bytes=%s"),
+    /** More sessions were to be opened than the descriptors of the process permit. */
+    TOO_MANY_SESSIONS(6353, Logger.Level.WARN, "too-many-sessions limit=%s"),
+    /** More connections of other instances were opened than may be. */
+    TOO_MANY_PEER_CONNECTIONS(6354, Logger.Level.WARN, "too-many-peer-connections limit=%s"),
     /** An unexpected error occurred; the process continues. */
     UNEXPECTED(6901, Logger.Level.ERROR, "unexpected where=%s error=\"%s\"");
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerListener.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/peer/PeerListener.java
@@ -10,7 +10,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.network.http.SocketAddresses;
 
@@ -31,10 +33,14 @@
 
     private static final int MAX_FIRST_LINE_BYTES = 300;
     private static final int BACKLOG = 256;
+    // Far more than one connection for each purpose, and each relayed server, of each instance.
+    private static final int MAX_CONNECTIONS = 1_024;
+    private static final int FIRST_LINE_TIMEOUT_SECONDS = 5;
 
     private final EventLoop mLoop;
     private final String mLocalAddress;
     private final Map<String, PeerProtocol> mProtocols;
+    private int mConnections;
 
     /**
      * Creates a listener; {@link #start} opens it.
@@ -64,6 +70,9 @@
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel channel) {
+                                if (!admit(channel)) {
+                                    return;
+                                }
                                 LineBasedFrameDecoder lineDecoder =
                                         new LineBasedFrameDecoder(MAX_FIRST_LINE_BYTES);
                                 // Only the first line is addressed to the listener.
@@ -78,8 +87,39 @@
                 .syncUninterruptibly();
     }
 
+    /** Closes a connection if there are too many; counts it until its end otherwise. */
+    private boolean admit(SocketChannel channel) {
+        if (mConnections >= MAX_CONNECTIONS) {
+            GatewayEvent.TOO_MANY_PEER_CONNECTIONS.log(MAX_CONNECTIONS);
+            channel.close();
+            return false;
+        }
+        mConnections++;
+        channel.closeFuture().addListener(closed -> mConnections--);
+        return true;
+    }
+
     /** Hands a connection over to the protocol that its first line names. */
     private final class FirstLineReader extends SimpleChannelInboundHandler<String> {
+        private ScheduledFuture<?> mTimeout;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            mTimeout =
+                    context.executor()
+                            .schedule(
+                                    () -> context.close(),
+                                    FIRST_LINE_TIMEOUT_SECONDS,
+                                    TimeUnit.SECONDS);
+        }
+
+        @Override
+        public void handlerRemoved(ChannelHandlerContext context) {
+            if (mTimeout != null) {
+                mTimeout.cancel(false);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, String line) {
             String[] words = line.split(" ", 2);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -28,6 +28,7 @@
  * @param evacuationMillis the time within which no statement may be sent to the servers of an
  *     evacuated failure domain any more; empty if failure domains are never evacuated
  * @param experimental which of several ways of working is used
+ * @param resources what the machine gives to the process
  * @since 0.2
  */
 public record GatewaySettings(
@@ -48,7 +49,8 @@
         double rateExcess,
         double rateSlack,
         Optional<Long> evacuationMillis,
-        ExperimentalSettings experimental) {
+        ExperimentalSettings experimental,
+        ResourceSettings resources) {
     private static final int MAX_PORT = 65_535;
 
     /** Validates all values. */
@@ -72,6 +74,49 @@
                 evacuationMillis.isEmpty() || evacuationMillis.get() > 0,
                 "evacuationMillis must be positive");
         Preconditions.notNull(experimental, "experimental");
+        Preconditions.notNull(resources, "resources");
+    }
+
+    /** Creates the settings of a process that is told nothing of its machine. */
+    public GatewaySettings(
+            String instance,
+            String failureDomain,
+            String localAddress,
+            String callerListener,
+            String operatorListener,
+            int peerPort,
+            String storeAddress,
+            String ordersAddress,
+            long drainMillis,
+            long serverDrainMillis,
+            boolean platformFencesPrimaries,
+            long configurationMillis,
+            long keyWithdrawalMillis,
+            long rateWindowMillis,
+            double rateExcess,
+            double rateSlack,
+            Optional<Long> evacuationMillis,
+            ExperimentalSettings experimental) {
+        this(
+                instance,
+                failureDomain,
+                localAddress,
+                callerListener,
+                operatorListener,
+                peerPort,
+                storeAddress,
+                ordersAddress,
+                drainMillis,
+                serverDrainMillis,
+                platformFencesPrimaries,
+                configurationMillis,
+                keyWithdrawalMillis,
+                rateWindowMillis,
+                rateExcess,
+                rateSlack,
+                evacuationMillis,
+                experimental,
+                ResourceSettings.NONE);
     }
 
     private static void requireNotEmpty(String text, String name) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettingsReader.java
@@ -77,7 +77,8 @@
                         number("rateExcess"),
                         number("rateSlack"),
                         optionalWholeNumber("evacuationMillis"),
-                        experimental());
+                        experimental(),
+                        resources());
         rejectUnknown();
         return settings;
     }
@@ -112,6 +113,22 @@
         return settings;
     }
 
+    /** Returns a limit of the machine, of which 0 says that there is none. */
+    private Optional<Long> optionalLimit(String name) {
+        mReadNames.add(name);
+        return mFile.has(name)
+                ? Optional.of((long) number(name)).filter(limit -> limit != 0)
+                : Optional.empty();
+    }
+
+    private ResourceSettings resources() {
+        return new ResourceSettings(
+                optionalLimit("machineMemoryMegabytes"),
+                optionalLimit("maxFileDescriptors"),
+                optionalWholeNumber("callerMemoryMegabytes"),
+                optionalWholeNumber("maxSessions"));
+    }
+
     private JsonNode requiredValue(String name) {
         mReadNames.add(name);
         JsonNode value = mFile.get(name);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Admission.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/Admission.java
@@ -14,5 +14,13 @@
      * @param retryAfterMillis milliseconds after which the caller may retry; 0 when a retry is
      *     useless
      */
-    record Refused(FailureCode code, String reason, long retryAfterMillis) implements Admission {}
+    record Refused(FailureCode code, String reason, long retryAfterMillis) implements Admission {
+        /** Returns what the caller is told. */
+        String text() {
+            if (code != FailureCode.BUSY) {
+                return reason;
+            }
+            return "not run: " + reason + "; retry after " + retryAfterMillis + " ms";
+        }
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -6,8 +6,6 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -28,17 +26,19 @@
  * the traffic thread only.
  */
 final class CallerSession extends SimpleChannelInboundHandler<String> {
-    private static final int MAX_QUEUED_REQUESTS = 64;
     private static final String SHUT_DOWN = "the instance shuts down";
     // Other instances serve the caller at once.
     private static final Admission.Refused REFUSED_BY_DRAIN =
             new Admission.Refused(FailureCode.BUSY, SHUT_DOWN, 0);
+    private static final Admission.Refused TOO_MANY_SESSIONS =
+            new Admission.Refused(FailureCode.BUSY, "too many sessions are open", 0);
 
     private final TrafficContext mTraffic;
     private final SessionState mSessionState = new SessionState();
     private final SessionPositions mPositions = new SessionPositions();
-    private final Deque<CallerMessage.Request> mQueue = new ArrayDeque<>();
+    private final RequestQueue mQueue = new RequestQueue();
     private CallerWriter mWriter;
+    private CallerFlow mFlow;
     private String mDatabase;
     private String mKey;
     private Transaction mTransaction;
@@ -57,7 +57,21 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mWriter = new CallerWriter(mTraffic.format(), context.channel());
+        mFlow = new CallerFlow(context.channel(), mTraffic, mWriter, this::runNext);
         mTraffic.sessions().add(this);
+        if (!mTraffic.makeRoomForSession()) {
+            refuseSession(FailureCode.BUSY, TOO_MANY_SESSIONS.text());
+        }
+    }
+
+    /** Receives the number of bytes of a message whose end has not arrived. */
+    void onPartialMessage(int bytes) {
+        mFlow.onPartialMessage(bytes);
+    }
+
+    /** Returns whether the caller has opened its session. */
+    boolean isOpened() {
+        return mDatabase != null;
     }
 
     @Override
@@ -71,12 +85,21 @@
         } else if (message instanceof CallerMessage.Quit) {
             close();
         } else if (message instanceof CallerMessage.Request request && mDatabase != null) {
-            enqueue(request);
+            mQueue.add(request, line.length());
+            runNext();
         } else {
-            mWriter.refuseSession(FailureCode.MALFORMED, "the message is not understood");
+            refuseSession(FailureCode.MALFORMED, "the message is not understood");
         }
     }
 
+    /** Sends a refusal and closes the connection. */
+    private void refuseSession(FailureCode code, String reason) {
+        mClosed = true;
+        mFlow.stopReceiving();
+        mWriter.refuseSession(code, reason);
+        releaseResources();
+    }
+
     private void open(CallerMessage.Open open) {
         Admission admission =
                 mTraffic.hasReached(DrainStage.CLOSING_IDLE_SESSIONS)
@@ -86,8 +109,7 @@
             long version = mTraffic.admission().configuration().version();
             GatewayEvent.SESSION_REFUSED.log(
                     open.database(), refused.code(), refused.reason(), version);
-            mClosed = true;
-            mWriter.refuseSession(refused.code(), reason(refused));
+            refuseSession(refused.code(), refused.text());
             return;
         }
         mDatabase = open.database();
@@ -95,36 +117,16 @@
         mWriter.ready(SessionMode.IDLE);
     }
 
-    private static String reason(Admission.Refused refused) {
-        if (refused.code() != FailureCode.BUSY) {
-            return refused.reason();
-        }
-        return "not run: "
-                + refused.reason()
-                + "; retry after "
-                + refused.retryAfterMillis()
-                + " ms";
-    }
-
-    private void enqueue(CallerMessage.Request request) {
-        mQueue.addLast(request);
-        if (mQueue.size() >= MAX_QUEUED_REQUESTS) {
-            // Back-pressure: what the caller sends in the meantime stays in the socket buffers.
-            mWriter.setAutoRead(false);
-        }
-        runNext();
-    }
-
     private void runNext() {
-        while (!mRunning && !mClosed && !mQueue.isEmpty()) {
-            CallerMessage.Request request = mQueue.pollFirst();
-            if (mQueue.size() == MAX_QUEUED_REQUESTS / 2) {
-                mWriter.setAutoRead(true);
-            }
+        while (!mRunning && !mClosed && !mQueue.isEmpty() && mFlow.mayWork()) {
+            CallerMessage.Request request = mQueue.startFirst();
             stopIdleTimer();
             mRunning = true;
             run(request);
         }
+        if (!mClosed) {
+            mFlow.onQueued(mQueue.bytes(), mQueue.isFull());
+        }
         boolean isDraining = mTraffic.hasReached(DrainStage.CLOSING_IDLE_SESSIONS);
         if (!mRunning && !mClosed && mTransaction == null && isDraining) {
             close();
@@ -143,14 +145,17 @@
             rollBack();
         } else if (statement instanceof Statement.SetValue set) {
             mSessionState.set(set.name(), set.value());
+            mFlow.onSessionState(mSessionState.characters());
             acknowledge();
         } else if (statement instanceof Statement.Prepare prepare) {
             mSessionState.prepare(
                     prepare.name(),
                     new PreparedStatementDefinition(prepare.writes(), prepare.text()));
+            mFlow.onSessionState(mSessionState.characters());
             acknowledge();
         } else if (statement instanceof Statement.Release release) {
             mSessionState.release(release.name());
+            mFlow.onSessionState(mSessionState.characters());
             acknowledge();
         } else {
             runReadOrWrite(request);
@@ -171,6 +176,7 @@
 
     private void completeRequest(Runnable write) {
         mRunning = false;
+        mQueue.endRunning();
         mRunningStatement = Optional.empty();
         if (mClosed) {
             return;
@@ -259,7 +265,7 @@
                 mTraffic.admission().configuration().version(),
                 mTraffic.admission().describeLimit(workspace));
         mTraffic.metrics().recordOperation("refused", refused.code().name(), 0);
-        fail(refused.code(), reason(refused));
+        fail(refused.code(), refused.text());
     }
 
     private void commit(CallerMessage.Request request) {
@@ -319,7 +325,8 @@
     }
 
     private void runReadOrWrite(CallerMessage.Request request) {
-        Optional<PreparedStatement> prepared = resolve(request.statement());
+        Optional<PreparedStatement> prepared =
+                PreparedStatement.resolve(request.statement(), mSessionState);
         if (prepared.isEmpty()) {
             boolean isName = request.statement() instanceof Statement.Execute;
             fail(
@@ -357,26 +364,6 @@
         }
     }
 
-    private Optional<PreparedStatement> resolve(Statement statement) {
-        if (statement instanceof Statement.Read) {
-            return Optional.of(new PreparedStatement(statement, Optional.empty(), false));
-        }
-        if (statement instanceof Statement.Write) {
-            return Optional.of(new PreparedStatement(statement, Optional.empty(), true));
-        }
-        if (statement instanceof Statement.Execute execute) {
-            return mSessionState
-                    .preparedStatement(execute.name())
-                    .map(
-                            definition ->
-                                    new PreparedStatement(
-                                            statement,
-                                            Optional.of(definition),
-                                            definition.writes()));
-        }
-        return Optional.empty();
-    }
-
     private void report(String workspace, OperationResult result) {
         long durationNanos = mTraffic.broker().now() - mOperationStartNanos;
         String outcome =
@@ -442,11 +429,22 @@
         return !mRunning && mQueue.isEmpty() && mTransaction == null;
     }
 
+    /** Closes the connection without waiting for what is being written. */
+    void abort() {
+        mFlow.closeForMemory();
+    }
+
+    /** Returns when the last operation began; zero if there was none. */
+    long operationStartNanos() {
+        return mOperationStartNanos;
+    }
+
     void close() {
         if (mClosed) {
             return;
         }
         mClosed = true;
+        mFlow.stopReceiving();
         mWriter.close();
         releaseResources();
     }
@@ -460,9 +458,15 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        mWriter.onWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mClosed = true;
+        mFlow.end();
         // Until now the last answer may have been on its way, for which a drain waits.
         mTraffic.sessions().remove(this);
         releaseResources();
@@ -472,14 +476,14 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         boolean isTooLong = cause instanceof TooLongFrameException;
         if ((isTooLong || cause instanceof CorruptedFrameException) && !mClosed) {
-            mClosed = true;
-            mWriter.refuseSession(
+            refuseSession(
                     FailureCode.MALFORMED,
                     isTooLong ? "the line is longer than 1 MiB" : "the line is not UTF-8");
-            releaseResources();
             return;
         }
-        if (!(cause instanceof IOException)) {
+        if (cause instanceof OutOfMemoryError) {
+            mTraffic.memory().relieve(cause);
+        } else if (!(cause instanceof IOException)) {
             GatewayEvent.UNEXPECTED.log("session", cause);
         }
         close();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PreparedStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PreparedStatement.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
+import org.plantainferry.engine.sessionstate.SessionState;
 import org.plantainferry.gateway.statement.Statement;
 
 /**
@@ -13,6 +14,29 @@
  */
 record PreparedStatement(
         Statement statement, Optional<PreparedStatementDefinition> definition, boolean writes) {
+    /**
+     * Finds what a statement executes; empty if it neither reads nor writes, or names a prepared
+     * statement that the session does not have.
+     */
+    static Optional<PreparedStatement> resolve(Statement statement, SessionState session) {
+        if (statement instanceof Statement.Read) {
+            return Optional.of(new PreparedStatement(statement, Optional.empty(), false));
+        }
+        if (statement instanceof Statement.Write) {
+            return Optional.of(new PreparedStatement(statement, Optional.empty(), true));
+        }
+        if (statement instanceof Statement.Execute execute) {
+            return session.preparedStatement(execute.name())
+                    .map(
+                            definition ->
+                                    new PreparedStatement(
+                                            statement,
+                                            Optional.of(definition),
+                                            definition.writes()));
+        }
+        return Optional.empty();
+    }
+
     /**
      * Returns the statement with the name under which a connection knows the prepared statement.
      */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnection.java
@@ -22,6 +22,8 @@
 import java.util.function.Consumer;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.memory.Holding;
+import org.plantainferry.engine.memory.MemoryShare;
 import org.plantainferry.engine.sessionstate.ServerConnectionState;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerListener;
@@ -41,7 +43,8 @@
  * next answer could be matched to the wrong statement. Not thread-safe: used by the traffic thread
  * only.
  */
-final class ServerConnection extends SimpleChannelInboundHandler<String> {
+final class ServerConnection extends SimpleChannelInboundHandler<String> implements MemoryHolder {
+    private static final int ROW_OVERHEAD_BYTES = 64;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int OPEN_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_CONSOLIDATED_FLUSHES = 64;
@@ -55,9 +58,13 @@
     private final String mWorkspace;
     private final ServerConnectionState mState = new ServerConnectionState();
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
     private final AnswerCheck mAnswerCheck = new AnswerCheck();
     private final Deque<PendingStatement> mPendingStatements = new ArrayDeque<>();
     private final List<String> mRows = new ArrayList<>();
+    private long mRowCharacters;
+    // What a long answer holds; empty while there is none.
+    private Optional<MemoryShare<MemoryHolder>> mShare = Optional.empty();
     private Channel mChannel;
     private Consumer<ServerReply> mOpenCallback;
     private ScheduledFuture<?> mOpenTimeout;
@@ -70,11 +77,16 @@
     private long mIdleSinceNanos;
 
     ServerConnection(
-            WireFormat format, CatalogServer server, String workspace, TrafficMetrics metrics) {
+            WireFormat format,
+            CatalogServer server,
+            String workspace,
+            TrafficMetrics metrics,
+            ConnectionMemory memory) {
         mFormat = format;
         mServer = server;
         mWorkspace = workspace;
         mMetrics = metrics;
+        mMemory = memory;
     }
 
     CatalogServer server() {
@@ -235,7 +247,7 @@
         } else if (mResult != null) {
             reject("a line between the result and the end of an answer");
         } else if (message instanceof ServerMessage.Row row) {
-            mRows.add(row.data());
+            addRow(row.data());
         } else if (message instanceof ServerMessage.Unreadable) {
             reject("a line that cannot be read");
         } else {
@@ -244,6 +256,39 @@
         }
     }
 
+    private void addRow(String data) {
+        mRows.add(data);
+        mRowCharacters += data.length() + ROW_OVERHEAD_BYTES;
+        if (mRowCharacters > ConnectionMemory.SMALL_BYTES) {
+            if (mShare.isEmpty()) {
+                mShare = Optional.of(mMemory.open(this));
+            }
+            mMemory.hold(mShare.get(), Holding.GATHERED, mRowCharacters);
+        }
+    }
+
+    private void releaseRows() {
+        mRows.clear();
+        mRowCharacters = 0;
+        mShare.ifPresent(mMemory::close);
+        mShare = Optional.empty();
+    }
+
+    @Override
+    public void resumeReceiving() {
+        // The answers of servers are received without pauses.
+    }
+
+    @Override
+    public void updateUnread() {
+        // Servers read all that is written.
+    }
+
+    @Override
+    public void closeForMemory() {
+        close("the answer is too long for the memory that is left");
+    }
+
     /**
      * Completes the opening if the server has refused the session, because no further line follows
      * a refusal.
@@ -284,7 +329,7 @@
         ServerReply reply = reply(ready);
         mHasUnconfirmedRefusal |= reply.isFailed();
         mResult = null;
-        mRows.clear();
+        releaseRows();
         mPendingStatements.removeFirst().callback().accept(reply);
     }
 
@@ -349,6 +394,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof OutOfMemoryError) {
+            mMemory.relieve(cause);
+        }
         close("the connection broke: " + cause.getMessage());
     }
 
@@ -362,6 +410,7 @@
             return;
         }
         mClosed = true;
+        releaseRows();
         if (mChannel != null) {
             closeChannel();
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -47,6 +47,7 @@
     private final ServerHealth mHealth;
     private final ServerRoom mRoom;
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
     private final Random mRandom = new Random();
     private final List<ServerConnection> mConnections = new ArrayList<>();
     private final List<ServerConnection> mIdleConnections = new ArrayList<>();
@@ -73,7 +74,8 @@
             CatalogServer server,
             ServerHealth health,
             ServerRoom room,
-            TrafficMetrics metrics) {
+            TrafficMetrics metrics,
+            ConnectionMemory memory) {
         mLoop = loop;
         mFormat = format;
         mLocalAddress = localAddress;
@@ -82,6 +84,7 @@
         mHealth = health;
         mRoom = room;
         mMetrics = metrics;
+        mMemory = memory;
         updateLeavingSince();
     }
 
@@ -344,7 +347,8 @@
     }
 
     private void open(String workspace) {
-        ServerConnection connection = new ServerConnection(mFormat, mServer, workspace, mMetrics);
+        ServerConnection connection =
+                new ServerConnection(mFormat, mServer, workspace, mMetrics, mMemory);
         mConnections.add(connection);
         mOpeningCount++;
         mOpeningByWorkspace.merge(workspace, 1, Integer::sum);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -38,6 +38,7 @@
     private final long mLeavingPrimaryNanos;
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
     private final PrimaryLeaseGuard mLeaseGuard;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
     private final EvacuatedDomains mEvacuatedDomains;
@@ -48,6 +49,7 @@
             GatewaySettings settings,
             LongSupplier clock,
             TrafficMetrics metrics,
+            ConnectionMemory memory,
             PrimaryLeaseGuard leaseGuard) {
         mLoop = loop;
         mFormat = format;
@@ -61,6 +63,7 @@
                 new EvacuatedDomains(settings.evacuationMillis().orElse(NO_EVACUATION_MILLIS));
         mClock = clock;
         mMetrics = metrics;
+        mMemory = memory;
         mLeaseGuard = leaseGuard;
     }
 
@@ -154,7 +157,8 @@
                         server,
                         health,
                         new UnlimitedServerRoom(),
-                        mMetrics);
+                        mMetrics,
+                        mMemory);
         pools.put(server.id(), pool);
         return pool;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerProbe.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerProbe.java
@@ -19,12 +19,15 @@
     private static final String NO_WORKSPACE = "-";
 
     private static final int MAX_RETRIES = 4;
+    // For answers that are far longer than those to a probe.
+    private static final long MEMORY_BYTES = 4 * 1024 * 1024;
     private static final long RETRY_DELAY_MILLIS = 25;
 
     private final EventLoop mLoop;
     private final WireFormat mFormat;
     private final String mLocalAddress;
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
 
     /** Creates a probe whose connections run on the given event loop. */
     public ServerProbe(
@@ -33,6 +36,7 @@
         mFormat = format;
         mLocalAddress = localAddress;
         mMetrics = metrics;
+        mMemory = new ConnectionMemory(loop, MEMORY_BYTES, metrics);
     }
 
     /**
@@ -45,7 +49,8 @@
     public CompletableFuture<ProbeResult> send(
             CatalogServer server, Statement statement, long timeoutMillis) {
         CompletableFuture<ProbeResult> result = new CompletableFuture<>();
-        ServerConnection connection = new ServerConnection(mFormat, server, NO_WORKSPACE, mMetrics);
+        ServerConnection connection =
+                new ServerConnection(mFormat, server, NO_WORKSPACE, mMetrics, mMemory);
         mLoop.schedule(
                 () -> {
                     result.complete(ProbeResult.UNREACHABLE);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
@@ -1,20 +1,29 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.channel.EventLoop;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
+import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.WireFormat;
 
 /**
  * Holds what all sessions of an instance share. Not thread-safe: used by the traffic thread only.
  */
 final class TrafficContext {
+    private static final String TOO_MANY = "too-many-sessions";
+    private static final Comparator<CallerSession> BY_LAST_OPERATION =
+            Comparator.comparingLong(CallerSession::operationStartNanos);
+
     private final EventLoop mLoop;
     private final WireFormat mFormat;
     private final ConnectionBroker mBroker;
     private final AdmissionControl mAdmission;
     private final TrafficMetrics mMetrics;
     private final Set<CallerSession> mSessions = new LinkedHashSet<>();
+    private final ConnectionMemory mMemory;
+    private final int mMaxSessions;
     private DrainStage mDrainStage = DrainStage.SERVING;
 
     TrafficContext(
@@ -22,12 +31,16 @@
             WireFormat format,
             ConnectionBroker broker,
             AdmissionControl admission,
-            TrafficMetrics metrics) {
+            TrafficMetrics metrics,
+            ConnectionMemory memory,
+            int maxSessions) {
         mLoop = loop;
         mFormat = format;
         mBroker = broker;
         mAdmission = admission;
         mMetrics = metrics;
+        mMemory = memory;
+        mMaxSessions = maxSessions;
     }
 
     EventLoop loop() {
@@ -50,6 +63,40 @@
         return mMetrics;
     }
 
+    ConnectionMemory memory() {
+        return mMemory;
+    }
+
+    /**
+     * Closes a connection that has no work, if more are open than may be: one that has not opened
+     * its session, or else the session without work for the longest time, whose caller connects
+     * again when it needs to.
+     *
+     * @return whether there was room, or has been made
+     */
+    boolean makeRoomForSession() {
+        if (mSessions.size() <= mMaxSessions) {
+            return true;
+        }
+        mMetrics.onCallerClosed(TOO_MANY);
+        GatewayEvent.TOO_MANY_SESSIONS.log(mMaxSessions);
+        // The last one is the new connection itself.
+        int others = mSessions.size() - 1;
+        Optional<CallerSession> unused =
+                mSessions.stream()
+                        .limit(others)
+                        .filter(session -> !session.isOpened())
+                        .findFirst()
+                        .or(
+                                () ->
+                                        mSessions.stream()
+                                                .limit(others)
+                                                .filter(CallerSession::isIdle)
+                                                .min(BY_LAST_OPERATION));
+        unused.ifPresent(CallerSession::abort);
+        return unused.isPresent();
+    }
+
     Set<CallerSession> sessions() {
         return mSessions;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficMetrics.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Records the metrics of connections and operations, with a latency histogram for each workspace.
@@ -16,6 +17,7 @@
     private final MeterRegistry mRegistry;
     private final Counter mConnectionsOpening;
     private final Counter mConnectionsFailed;
+    private final AtomicLong mHeldBytes = new AtomicLong();
     private final Map<String, Timer> mTimers = new HashMap<>();
     private final Map<String, Counter> mOutcomes = new HashMap<>();
 
@@ -23,6 +25,7 @@
     public TrafficMetrics(MeterRegistry registry) {
         mRegistry = registry;
         mConnectionsOpening = registry.counter("plantainferry.connections.opened");
+        registry.gauge("plantainferry.memory.held", mHeldBytes);
         mConnectionsFailed = registry.counter("plantainferry.connections.failed");
     }
 
@@ -34,6 +37,16 @@
         mConnectionsFailed.increment();
     }
 
+    /** Records how much memory is held for connections. */
+    void onHeldBytes(long bytes) {
+        mHeldBytes.lazySet(bytes);
+    }
+
+    /** Records a connection of a caller, or to a server, that was closed to make room. */
+    void onCallerClosed(String reason) {
+        mRegistry.counter("plantainferry.callers.closed", "reason", reason).increment();
+    }
+
     /** Records an answer that cannot belong to the statement that waits for one. Thread-safe. */
     void onAnswerMismatched(String server) {
         mRegistry.counter("plantainferry.answers.mismatched", "server", server).increment();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -1,10 +1,12 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -33,6 +35,8 @@
 public final class TrafficServer {
     private static final long RELAY_DURATION_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BACKLOG = 512;
+    private static final int MIN_RECEIVE_BYTES = 64;
+    private static final int FIRST_RECEIVE_BYTES = 2_048;
     private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
     private static final long DEMAND_REPORT_INTERVAL_MILLIS = 2_500;
     // The age of a confirmation counts from the sending of its request, and a caller's request is
@@ -78,7 +82,9 @@
         mLoop = loop;
         mSettings = settings;
         mClock = clock;
-        mGroups = new ServerGroupRegistry(loop, format, settings, clock, metrics, leaseGuard);
+        ConnectionMemory memory = new ConnectionMemory(loop, memoryBytes(settings), metrics);
+        mGroups =
+                new ServerGroupRegistry(loop, format, settings, clock, metrics, memory, leaseGuard);
         LimitTolerance terms =
                 new LimitTolerance(
                         settings.rateWindowMillis() / 1_000.0,
@@ -109,7 +115,17 @@
                         peerPositions,
                         leaseGuard);
         mView = view;
-        mContext = new TrafficContext(loop, format, mBroker, admission, metrics);
+        mContext =
+                new TrafficContext(
+                        loop, format, mBroker, admission, metrics, memory, sessionLimit(settings));
+    }
+
+    private static long memoryBytes(GatewaySettings settings) {
+        return settings.resources().callerMemoryBytes(Runtime.getRuntime().maxMemory());
+    }
+
+    private static int sessionLimit(GatewaySettings settings) {
+        return settings.resources().sessionLimit(FileDescriptorLimit.read());
     }
 
     /** Opens the listener for callers and blocks until it is bound. */
@@ -121,12 +137,25 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_RECEIVE_BYTES,
+                                        FIRST_RECEIVE_BYTES,
+                                        ConnectionMemory.SMALL_BYTES))
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(
+                                        ConnectionMemory.SMALL_BYTES,
+                                        2 * ConnectionMemory.SMALL_BYTES))
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        LineCodec.addTo(channel.pipeline());
-                                        channel.pipeline().addLast(new CallerSession(mContext));
+                                        CallerSession session = new CallerSession(mContext);
+                                        LineCodec.addTo(
+                                                channel.pipeline(), session::onPartialMessage);
+                                        channel.pipeline().addLast(session);
                                     }
                                 })
                         .bind(SocketAddresses.parse(mSettings.callerListener()))
@@ -134,13 +163,13 @@
                         .channel();
         mPeriodicTasks.add(
                 mLoop.scheduleWithFixedDelay(
-                        this::cleanUp,
+                        () -> runGuarded(this::cleanUp),
                         CLEANUP_INTERVAL_MILLIS,
                         CLEANUP_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS));
         mPeriodicTasks.add(
                 mLoop.scheduleWithFixedDelay(
-                        mLimits::reportDemand,
+                        () -> runGuarded(mLimits::reportDemand),
                         0,
                         DEMAND_REPORT_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS));
@@ -167,6 +196,15 @@
                 });
     }
 
+    /** Runs a periodic task, which would not run again after an error. */
+    private void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (OutOfMemoryError e) {
+            mContext.memory().relieve(e);
+        }
+    }
+
     private void cleanUp() {
         mGroups.closeIdleConnections();
         mLimits.discardRemovedWorkspaces();
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/settings/GatewaySettingsReaderTest.java
@@ -32,6 +32,30 @@
         assertEquals(parse(VALID_SETTINGS).rateExcess(), 0.1);
     }
 
+    private static ResourceSettings resources(String settings) {
+        return parse(VALID_SETTINGS.replace("{'instance'", "{" + settings + ",'instance'"))
+                .resources();
+    }
+
+    /** Guards against an instance that does not start because it is told nothing of its machine. */
+    @Test
+    public void derivesLimitsForCallersFromWhatItIsToldOfTheMachine() {
+        long megabyte = 1024 * 1024;
+        ResourceSettings none = parse(VALID_SETTINGS).resources();
+        assertEquals(none.callerMemoryBytes(112 * megabyte), 28 * megabyte);
+        assertEquals(none.sessionLimit(1_024), 618);
+        assertEquals(none.sessionLimit(100), 64);
+        ResourceSettings small =
+                resources("'machineMemoryMegabytes':160.5,'maxFileDescriptors':2167");
+        assertEquals(small.callerMemoryBytes(112 * megabyte), 20 * megabyte);
+        assertEquals(small.sessionLimit(1_024), 1_473);
+        assertEquals(resources("'machineMemoryMegabytes':0,'maxFileDescriptors':0"), none);
+        ResourceSettings chosen = resources("'callerMemoryMegabytes':5,'maxSessions':70");
+        assertEquals(chosen.callerMemoryBytes(112 * megabyte), 5 * megabyte);
+        assertEquals(chosen.sessionLimit(1_024), 70);
+        assertThrows(PlantainferryException.class, () -> resources("'maxSessions':0"));
+    }
+
     @Test
     public void refusesAMissingSetting() {
         assertThrows(
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/LineCodecTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/LineCodecTest.java
@@ -122,6 +122,33 @@
         assertThrows(TooLongFrameException.class, () -> decode(channel(), bytes(longest + "xx")));
     }
 
+    /** Guards against a caller whose statements fill the memory although it is not read from. */
+    @Test
+    public void keepsLinesBackWhileTheChannelDoesNotRead() {
+        List<Integer> held = new ArrayList<>();
+        EmbeddedChannel channel =
+                new EmbeddedChannel(new LineCodec.Decoder(MAX_LINE_BYTES, held::add));
+        channel.config().setAutoRead(false);
+        assertEquals(decode(channel, bytes("a\r\nb\r\nc")), List.of());
+        assertEquals(held, List.of(7));
+        channel.config().setAutoRead(true);
+        LineCodec.emitHeldLines(channel.pipeline());
+        assertEquals(List.of(channel.readInbound(), channel.readInbound()), List.of("a", "b"));
+        assertEquals(held.get(held.size() - 1), 1);
+        assertEquals(decode(channel, bytes("d\r\n")), List.of("cd"));
+        assertEquals(held.get(held.size() - 1), 0);
+    }
+
+    /** Guards against a caller that goes on to send after its message was refused. */
+    @Test
+    public void dropsAllThatFollowsALineAboveTheLimit() {
+        EmbeddedChannel channel = channel();
+        assertThrows(
+                TooLongFrameException.class,
+                () -> decode(channel, bytes("x".repeat(MAX_LINE_BYTES + 2))));
+        assertEquals(decode(channel, bytes("a\r\n" + "x".repeat(MAX_LINE_BYTES * 3))), List.of());
+    }
+
     @Test
     public void rejectsBytesThatAreNotUtf8() {
         for (byte[] malformed : new byte[][] {{(byte) 0xff}, {(byte) 0xc3}, {'a', (byte) 0x80}}) {
