--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerFlow.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerFlow.java
@@ -14,6 +14,8 @@
  */
 final class CallerFlow implements MemoryHolder {
     private static final long UNREAD_CHECK_MILLIS = 15_000;
+    // A caller that sends statements ahead lets others go first after as many.
+    private static final int MAX_STATEMENTS_IN_ROW = 64;
     private static final String UNREAD = "unread-answers";
 
     private final Channel mChannel;
@@ -24,7 +26,9 @@
     private final Runnable mWork;
     private boolean mQueueFull;
     private boolean mAwaitsTurn;
+    private boolean mEmissionPending;
     private boolean mWorkWaits;
+    private int mStatementsInRow;
     private boolean mClosed;
     private ScheduledFuture<?> mUnreadCheck;
     private long mTakenBytes;
@@ -70,8 +74,28 @@
         mMemory.hold(mShare, Holding.SESSION, bytes);
     }
 
+    /**
+     * Returns whether the next statement may start now. Otherwise the waiting statements are run
+     * later: after other callers, or when the caller has read its answers.
+     */
+    boolean mayStart() {
+        if (!mayWork()) {
+            return false;
+        }
+        mStatementsInRow++;
+        if (mStatementsInRow == MAX_STATEMENTS_IN_ROW) {
+            mChannel.eventLoop().execute(this::endRow);
+        }
+        return mStatementsInRow <= MAX_STATEMENTS_IN_ROW;
+    }
+
+    private void endRow() {
+        mStatementsInRow = 0;
+        mWork.run();
+    }
+
     /** Returns whether the caller has read so much that its next statement may run. */
-    boolean mayWork() {
+    private boolean mayWork() {
         long unread = mShare.bytes(Holding.UNREAD);
         mWorkWaits = unread > 0 && unread > mMemory.unreadLimitBytes();
         if (mWorkWaits) {
@@ -117,12 +141,23 @@
             return;
         }
         mChannel.config().setAutoRead(isReading);
-        if (isReading) {
+        if (isReading && !mEmissionPending) {
             // Lines that arrived before the pause come first.
-            mChannel.eventLoop().execute(() -> LineCodec.emitHeldLines(mChannel.pipeline()));
+            mEmissionPending = true;
+            mChannel.eventLoop().execute(this::emitHeldLines);
         }
     }
 
+    private void emitHeldLines() {
+        mEmissionPending = false;
+        LineCodec.emitHeldLines(mChannel.pipeline());
+    }
+
+    /** Returns whether requests may have been received that are not in the queue yet. */
+    boolean holdsRequests() {
+        return mQueueFull || mEmissionPending;
+    }
+
     @Override
     public void resumeReceiving() {
         mAwaitsTurn = false;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -118,7 +118,7 @@
     }
 
     private void runNext() {
-        while (!mRunning && !mClosed && !mQueue.isEmpty() && mFlow.mayWork()) {
+        while (!mRunning && !mClosed && !mQueue.isEmpty() && mFlow.mayStart()) {
             CallerMessage.Request request = mQueue.startFirst();
             stopIdleTimer();
             mRunning = true;
@@ -128,7 +128,7 @@
             mFlow.onQueued(mQueue.bytes(), mQueue.isFull());
         }
         boolean isDraining = mTraffic.hasReached(DrainStage.CLOSING_IDLE_SESSIONS);
-        if (!mRunning && !mClosed && mTransaction == null && isDraining) {
+        if (isDraining && !mClosed && isIdle()) {
             close();
         }
     }
@@ -426,7 +426,7 @@
 
     /** Returns whether the session has no work in progress, so that closing it loses nothing. */
     boolean isIdle() {
-        return !mRunning && mQueue.isEmpty() && mTransaction == null;
+        return !mRunning && mQueue.isEmpty() && mTransaction == null && !mFlow.holdsRequests();
     }
 
     /** Closes the connection without waiting for what is being written. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -37,6 +37,8 @@
     private static final int BACKLOG = 512;
     private static final int MIN_RECEIVE_BYTES = 64;
     private static final int FIRST_RECEIVE_BYTES = 2_048;
+    // A caller that sends much lets others go first after as many.
+    private static final int RECEIVES_IN_ROW = 4;
     private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
     private static final long DEMAND_REPORT_INTERVAL_MILLIS = 2_500;
     // The age of a confirmation counts from the sending of its request, and a caller's request is
@@ -140,9 +142,10 @@
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(
-                                        MIN_RECEIVE_BYTES,
-                                        FIRST_RECEIVE_BYTES,
-                                        ConnectionMemory.SMALL_BYTES))
+                                                MIN_RECEIVE_BYTES,
+                                                FIRST_RECEIVE_BYTES,
+                                                ConnectionMemory.SMALL_BYTES)
+                                        .maxMessagesPerRead(RECEIVES_IN_ROW))
                         .childOption(
                                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                                 new WriteBufferWaterMark(
