--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -50,6 +50,7 @@
     private final ServerHealth mHealth;
     private final ServerRoom mRoom;
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
     private final Random mRandom = new Random();
     private final List<ServerConnection> mConnections = new ArrayList<>();
     private final List<ServerConnection> mIdleConnections = new ArrayList<>();
@@ -77,7 +78,8 @@
             ServerHealth health,
             ServerRoom room,
             long leavingNanos,
-            TrafficMetrics metrics) {
+            TrafficMetrics metrics,
+            ConnectionMemory memory) {
         mLoop = loop;
         mFormat = format;
         mLocalAddress = localAddress;
@@ -86,6 +88,7 @@
         mHealth = health;
         mRoom = room;
         mMetrics = metrics;
+        mMemory = memory;
         mWaiters = new WaiterDispatcher(loop, clock, server.id(), this);
         mLeaving = new LeavingPeriod(loop, clock);
         mLeavingNanos = leavingNanos;
@@ -370,7 +373,8 @@
         while (mConnections.size() >= effectiveLimit() && !mIdleConnections.isEmpty()) {
             closeLeastRecentlyUsed();
         }
-        ServerConnection connection = new ServerConnection(mFormat, mServer, workspace, mMetrics);
+        ServerConnection connection =
+                new ServerConnection(mFormat, mServer, workspace, mMetrics, mMemory);
         mConnections.add(connection);
         mMetrics.onConnectionOpening();
         connection.setCloseCallback(() -> onClosed(connection));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerGroupRegistry.java
@@ -48,6 +48,7 @@
     private final long mLeavingNanos;
     private final LongSupplier mClock;
     private final TrafficMetrics mMetrics;
+    private final ConnectionMemory mMemory;
     private final PrimaryLeaseGuard mLeaseGuard;
     private final HostAssignments mHosts;
     private final Map<String, ServerGroup> mGroups = new HashMap<>();
@@ -60,6 +61,7 @@
             GatewaySettings settings,
             LongSupplier clock,
             TrafficMetrics metrics,
+            ConnectionMemory memory,
             PrimaryLeaseGuard leaseGuard,
             HostAssignments hosts) {
         mLoop = loop;
@@ -75,6 +77,7 @@
                 new EvacuatedDomains(settings.evacuationMillis().orElse(NO_EVACUATION_MILLIS));
         mClock = clock;
         mMetrics = metrics;
+        mMemory = memory;
         mLeaseGuard = leaseGuard;
         mHosts = hosts;
     }
@@ -181,7 +184,8 @@
                         health,
                         room(server),
                         mLeavingNanos,
-                        mMetrics);
+                        mMetrics,
+                        mMemory);
         pools.put(server.id(), pool);
         return pool;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -1,10 +1,12 @@
 package org.plantainferry.gateway.traffic;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -41,6 +43,10 @@
 public final class TrafficServer {
     private static final long RELAY_DURATION_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BACKLOG = 512;
+    private static final int MIN_RECEIVE_BYTES = 64;
+    private static final int FIRST_RECEIVE_BYTES = 2_048;
+    // A caller that sends much lets others go first after as many.
+    private static final int RECEIVES_IN_ROW = 4;
     private static final long CLEANUP_INTERVAL_MILLIS = 5_000;
     private static final long DEMAND_REPORT_INTERVAL_MILLIS = 2_500;
     // The age of a confirmation counts from the sending of its request, and a caller's request is
@@ -88,6 +94,7 @@
         mLoop = loop;
         mSettings = settings;
         mClock = clock;
+        ConnectionMemory memory = new ConnectionMemory(loop, memoryBytes(settings), metrics);
         HostAssignments assignments =
                 new HostAssignments(
                         settings.instance(),
@@ -95,21 +102,8 @@
                         settings.experimental().hostMode());
         mGroups =
                 new ServerGroupRegistry(
-                        loop, format, settings, clock, metrics, leaseGuard, assignments);
-        LimitTolerance terms =
-                new LimitTolerance(
-                        settings.rateWindowMillis() / 1_000.0,
-                        settings.rateExcess(),
-                        settings.rateSlack());
-        mLimits =
-                new WorkspaceRateLimiter(
-                        settings.instance(),
-                        settings.failureDomain(),
-                        view,
-                        terms,
-                        System::nanoTime,
-                        borrower,
-                        demandReports);
+                        loop, format, settings, clock, metrics, memory, leaseGuard, assignments);
+        mLimits = workspaceLimits(settings, view, borrower, demandReports);
         AdmissionControl admission =
                 new AdmissionControl(
                         view,
@@ -129,10 +123,39 @@
         mLinks = new HostLinks(loop, settings.instance(), settings.localAddress(), clock);
         HostSelection hosts = new HostSelection(assignments, mLinks, metrics);
         PassingRunner runner = new PassingRunner(mBroker, hosts);
-        mContext = new TrafficContext(loop, format, mBroker, admission, metrics, runner);
+        mContext =
+                new TrafficContext(
+                        loop,
+                        format,
+                        mBroker,
+                        admission,
+                        metrics,
+                        runner,
+                        memory,
+                        sessionLimit(settings));
         mHosted = new HostedOperations(mContext);
     }
 
+    private static WorkspaceRateLimiter workspaceLimits(
+            GatewaySettings settings,
+            Supplier<FleetView> view,
+            TokenBorrower borrower,
+            Consumer<Map<String, Double>> demandReports) {
+        LimitTolerance terms =
+                new LimitTolerance(
+                        settings.rateWindowMillis() / 1_000.0,
+                        settings.rateExcess(),
+                        settings.rateSlack());
+        return new WorkspaceRateLimiter(
+                settings.instance(),
+                settings.failureDomain(),
+                view,
+                terms,
+                System::nanoTime,
+                borrower,
+                demandReports);
+    }
+
     private static ReadPlacement readPlacement(GatewaySettings settings) {
         boolean isLearned =
                 settings.experimental().serverRoom().equals(ExperimentalSettings.LEARNED);
@@ -141,6 +164,14 @@
                 isLearned ? ReadTimeEstimate.byLearnedTimes() : ReadTimeEstimate.byResponseTimes());
     }
 
+    private static long memoryBytes(GatewaySettings settings) {
+        return settings.resources().callerMemoryBytes(Runtime.getRuntime().maxMemory());
+    }
+
+    private static int sessionLimit(GatewaySettings settings) {
+        return settings.resources().sessionLimit(FileDescriptorLimit.read());
+    }
+
     /** Opens the listener for callers and blocks until it is bound. */
     public void start() {
         mListener =
@@ -150,12 +181,26 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_RECEIVE_BYTES,
+                                                FIRST_RECEIVE_BYTES,
+                                                ConnectionMemory.SMALL_BYTES)
+                                        .maxMessagesPerRead(RECEIVES_IN_ROW))
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(
+                                        ConnectionMemory.SMALL_BYTES,
+                                        2 * ConnectionMemory.SMALL_BYTES))
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        LineCodec.addTo(channel.pipeline());
-                                        channel.pipeline().addLast(new CallerSession(mContext));
+                                        CallerSession session = new CallerSession(mContext);
+                                        LineCodec.addTo(
+                                                channel.pipeline(), session::onPartialMessage);
+                                        channel.pipeline().addLast(session);
                                     }
                                 })
                         .bind(SocketAddresses.parse(mSettings.callerListener()))
@@ -163,13 +208,13 @@
                         .channel();
         mPeriodicTasks.add(
                 mLoop.scheduleWithFixedDelay(
-                        this::cleanUp,
+                        () -> runGuarded(this::cleanUp),
                         CLEANUP_INTERVAL_MILLIS,
                         CLEANUP_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS));
         mPeriodicTasks.add(
                 mLoop.scheduleWithFixedDelay(
-                        mLimits::reportDemand,
+                        () -> runGuarded(mLimits::reportDemand),
                         0,
                         DEMAND_REPORT_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS));
@@ -198,6 +243,15 @@
                 });
     }
 
+    /** Runs a periodic task, which would not run again after an error. */
+    private void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (OutOfMemoryError e) {
+            mContext.memory().relieve(e);
+        }
+    }
+
     private void cleanUp() {
         mGroups.closeIdleConnections();
         mGroups.logCapacityChanges();
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PoolRoomTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PoolRoomTest.java
@@ -33,6 +33,7 @@
  */
 public final class PoolRoomTest {
     private static final WorkKind KIND = new WorkKind("db", WorkKind.Step.READ);
+    private static final long MEMORY_BYTES = 4L * 1024 * 1024;
     private static final long IDLE_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(8);
     private static final int STATEMENTS = 60;
@@ -84,6 +85,7 @@
         mServer = new LineServer();
         mRoom = new FixedRoom();
         mResults = new TreeMap<>();
+        TrafficMetrics metrics = new TrafficMetrics(new SimpleMeterRegistry());
         mPool =
                 new ServerConnectionPool(
                         mLoop,
@@ -95,7 +97,8 @@
                         new ServerHealth(),
                         mRoom,
                         IDLE_NANOS,
-                        new TrafficMetrics(new SimpleMeterRegistry()));
+                        metrics,
+                        new ConnectionMemory(mLoop, MEMORY_BYTES, metrics));
         mPool.setPlan(3, IDLE_NANOS);
     }
 
