Close one connection for each time of a turn when all wait

Cause: after the first closure of a stall, its start was kept, so that each further decision, 100 ms later, closed another connection until there was room for a turn. The design gives the others the time of a turn each time. Change: the time begins anew with each closure. Result: MemoryBudgetTest.closesNoMoreThanOneForEachTurnWhenAllWait failed before and passes now.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/memory/MemoryBudget.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/memory/MemoryBudget.java
@@ -36,7 +36,7 @@
     private final Set<MemoryShare<T>> mWaiting = new LinkedHashSet<>();
     private final Set<MemoryShare<T>> mTurns = new LinkedHashSet<>();
     private long mHeldBytes;
-    // When the first of the waiting connections began to wait with no turn taken.
+    // When all began to wait with no turn taken, or one was last closed for it.
     private Optional<Long> mStalledSinceNanos = Optional.empty();
 
     /** Creates a budget of which nothing is held. */
@@ -190,6 +190,7 @@
             mStalledSinceNanos = Optional.of(nowNanos);
         } else if (nowNanos - mStalledSinceNanos.get() >= mLimits.turnNanos()) {
             closeHeaviest(nowNanos, closed);
+            mStalledSinceNanos = Optional.of(nowNanos);
         }
     }
 
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/memory/MemoryBudgetTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/memory/MemoryBudgetTest.java
@@ -101,6 +101,20 @@
         assertEquals(decision, new MemoryDecision<>(List.of("waiting"), List.of("unread")));
     }
 
+    /** Answers the same crowd: each one that is closed gives the others the time of a turn. */
+    @Test
+    public void closesNoMoreThanOneForEachTurnWhenAllWait() {
+        holding("working", Holding.QUEUED, 900, 0);
+        holding("most", Holding.UNREAD, 40, 0);
+        holding("less", Holding.UNREAD, 30, 0);
+        MemoryShare<String> share = holding("waiting", Holding.RECEIVED, 20, 4 * SECOND);
+        assertFalse(mBudget.mayReceive(share, 5 * SECOND));
+        assertEquals(mBudget.decide(5 * SECOND).closed(), List.of());
+        assertEquals(mBudget.decide(7 * SECOND).closed(), List.of("most"));
+        assertEquals(mBudget.decide(7 * SECOND + SECOND / 10).closed(), List.of());
+        assertEquals(mBudget.decide(9 * SECOND).closed(), List.of("less"));
+    }
+
     /**
      * Answers a crowd that reads very slowly: bytes weigh with the time for which they are held.
      */
