Take no turn for callers that are not read from, and count opening as use

Cause: a caller with a full queue of its own statements took a turn for the start of its next long message, and was closed after 2 s for not ending a message that was not read. A session without an operation counted as unused for the longest time, so at the limit of sessions one that had just opened was closed before those that were idle. An error in the periodic decision about memory ended its repetition while connections waited. Change: no turn while the queue is full; the opening of a session counts as use, and times are compared by difference; the repetition is renewed always. The repetition after an error has no test.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerFlow.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerFlow.java
@@ -51,7 +51,9 @@
     /** Receives the number of bytes that the decoder holds. */
     void onPartialMessage(int bytes) {
         mMemory.hold(mShare, Holding.RECEIVED, bytes);
-        if (bytes > ConnectionMemory.SMALL_BYTES && !mMemory.mayReceive(mShare)) {
+        // A turn is of no use to a caller that is not read from, and would run out.
+        boolean needsTurn = bytes > ConnectionMemory.SMALL_BYTES && !mQueueFull;
+        if (needsTurn && !mMemory.mayReceive(mShare)) {
             mAwaitsTurn = true;
             updateReading();
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -114,6 +114,7 @@
         }
         mDatabase = open.database();
         mKey = open.key();
+        mOperationStartNanos = mTraffic.broker().now();
         mWriter.ready(SessionMode.IDLE);
     }
 
@@ -439,7 +440,7 @@
         mFlow.closeForMemory();
     }
 
-    /** Returns when the last operation began; zero if there was none. */
+    /** Returns when the last operation began; when the session opened if there was none. */
     long operationStartNanos() {
         return mOperationStartNanos;
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionMemory.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionMemory.java
@@ -99,8 +99,12 @@
 
     private void tick() {
         mTickScheduled = false;
-        decide();
-        onChange();
+        try {
+            decide();
+        } finally {
+            // Connections that wait are not forgotten after a refusal of memory.
+            onChange();
+        }
     }
 
     private void decide() {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
@@ -14,7 +14,8 @@
 final class TrafficContext {
     private static final String TOO_MANY = "too-many-sessions";
     private static final Comparator<CallerSession> BY_LAST_OPERATION =
-            Comparator.comparingLong(CallerSession::operationStartNanos);
+            (first, second) ->
+                    Long.signum(first.operationStartNanos() - second.operationStartNanos());
 
     private final EventLoop mLoop;
     private final WireFormat mFormat;
