--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/memory/MemoryShare.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/memory/MemoryShare.java
@@ -57,11 +57,6 @@
         }
     }
 
-    /** Begins the age of what is held for a reason anew, because the other end made progress. */
-    public void onProgress(Holding holding, long nowNanos) {
-        mSinceNanos[holding.ordinal()] = nowNanos;
-    }
-
     /** Gives all bytes back; later calls change nothing. */
     public void close() {
         if (!mClosed) {
