Refuse statements that were sent ahead one after the other, not nested

Cause: a statement that ended at once, such as one that its server has no room for, started the next statement of its caller from within its own answer. With up to 64 statements in a row, each some 27 to 37 frames deep, the 256 KB stack of the traffic thread overflowed. One overflow in the queue of timers of the event loop left an empty entry there, on which the loop ended two seconds later: the process lived on, and no caller got an answer. So CrowdTest.outlivesLongAnswersThatAreReadVerySlowly was red ("Read timed out"). With unlimited room such refusals do not arise.

Change: the loop that starts the statements of a session is not entered while it runs; it goes on by itself.

Result: CallerSessionTest, red before (each refusal was 17 frames deeper than the one before it) and green after.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -37,6 +37,7 @@
     private final SessionState mSessionState = new SessionState();
     private final SessionPositions mPositions = new SessionPositions();
     private final RequestQueue mQueue = new RequestQueue();
+    private final Runnable mWork = new UnnestedTask(this::runWaiting);
     private CallerWriter mWriter;
     private CallerFlow mFlow;
     private String mDatabase;
@@ -57,7 +58,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mWriter = new CallerWriter(mTraffic.format(), context.channel());
-        mFlow = new CallerFlow(context.channel(), mTraffic, mWriter, this::runNext);
+        mFlow = new CallerFlow(context.channel(), mTraffic, mWriter, mWork);
         mTraffic.sessions().add(this);
         if (!mTraffic.makeRoomForSession()) {
             refuseSession(FailureCode.BUSY, TOO_MANY_SESSIONS.text());
@@ -86,7 +87,7 @@
             close();
         } else if (message instanceof CallerMessage.Request request && mDatabase != null) {
             mQueue.add(request, line.length());
-            runNext();
+            mWork.run();
         } else {
             refuseSession(FailureCode.MALFORMED, "the message is not understood");
         }
@@ -117,7 +118,7 @@
         mWriter.ready(SessionMode.IDLE);
     }
 
-    private void runNext() {
+    private void runWaiting() {
         while (!mRunning && !mClosed && !mQueue.isEmpty() && mFlow.mayStart()) {
             CallerMessage.Request request = mQueue.startFirst();
             stopIdleTimer();
@@ -187,7 +188,7 @@
         } else if (mTransaction != null) {
             startIdleTimer();
         }
-        runNext();
+        mWork.run();
     }
 
     private void runInFailedTransaction(CallerMessage.Request request) {
