--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
@@ -49,7 +49,7 @@
 
     /** The settings that apply in production. */
     public static final ExperimentalSettings NONE =
-            new ExperimentalSettings(DOMAIN, LEARNED, AUTOMATIC);
+            new ExperimentalSettings(DOMAIN, LEARNED, NEVER);
 
     /** Returns the settings that apply in production, except how the store is followed. */
     public static ExperimentalSettings following(String storeFollowing) {
