Call the room of servers short only while statements wait for it

Cause: a server counted as short of room as soon as as many statements were in progress as its learned limit, which starts at one beside other instances. A second statement in progress then kept a failed read from being tried again and a late one from its hedge, though nothing waited. Change: GroupRoom asks for waiting statements first, as RoomState says.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupRoom.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/GroupRoom.java
@@ -10,8 +10,8 @@
 /**
  * Tells what room the servers of a group have for another attempt of a statement.
  *
- * <p>A server has none while this instance has as many statements in progress there as it may have,
- * or while statements wait for a connection and no other can be opened.
+ * <p>A server has none while statements wait for it, and either as many are in progress as may be
+ * or no other connection can be opened. Without waiting statements, another attempt delays none.
  */
 final class GroupRoom {
     private final ServerGroup mGroup;
@@ -61,10 +61,11 @@
     }
 
     private boolean isShort(ServerConnectionPool pool, long nowNanos) {
-        boolean isFull = pool.room().inFlight() >= pool.room().limit(nowNanos);
-        return isFull
-                || (pool.waiters() > 0
-                        && pool.availability(mWorkspace) == ConnectionAvailability.AT_LIMIT);
+        if (pool.waiters() == 0) {
+            return false;
+        }
+        return pool.room().inFlight() >= pool.room().limit(nowNanos)
+                || pool.availability(mWorkspace) == ConnectionAvailability.AT_LIMIT;
     }
 
     /** Returns the time until what is in progress and what waits at a server has ended. */
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PoolRoomTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PoolRoomTest.java
@@ -1,6 +1,7 @@
 package org.plantainferry.gateway.traffic;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -22,6 +23,8 @@
 import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.placement.ServerHealth;
+import org.plantainferry.engine.retry.RetryBudget;
+import org.plantainferry.engine.retry.SecondAttemptPolicy;
 import org.plantainferry.gateway.statement.Statement;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -273,4 +276,25 @@
                     record("kept", "done");
                 });
     }
+
+    /** Guards against reads that are not tried again although a second attempt delays nobody. */
+    @Test
+    public void isShortOnlyWhileStatementsWait() throws Exception {
+        ServerGroup group =
+                new ServerGroup(
+                        IDLE_NANOS,
+                        server -> true,
+                        new SecondAttemptPolicy(new RetryBudget(0), 0),
+                        new LoadMetrics(new SimpleMeterRegistry()));
+        GroupRoom room = new GroupRoom(group, "a", KIND);
+        onLoop(() -> group.pools().put("s1", mPool));
+        onLoop(
+                () -> {
+                    mPool.onStatementSent(KIND, System.nanoTime());
+                    return null;
+                });
+        assertFalse(onLoop(() -> room.forHedge(Set.of(), System.nanoTime()).isShort()));
+        onLoop(() -> run("a", "waits"));
+        assertTrue(onLoop(() -> room.forHedge(Set.of(), System.nanoTime()).isShort()));
+    }
 }
