--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ServerConnectionPool.java
@@ -238,11 +238,6 @@
         return newest;
     }
 
-    /** Returns the numbers of waiting statements and of those that were refused. */
-    WaitingSnapshot waitingSnapshot() {
-        return mWaiters.snapshot();
-    }
-
     int waiters() {
         return mWaiters.size();
     }
