Work out the kind of work of a statement once

Cause: SingleStatement derived it four times, at the attempt, the sending, the answer and the look at the room, on the path of each statement. Change: it is derived when the statement is created.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/SingleStatement.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.plantainferry.api.StatementKind;
 import org.plantainferry.api.Verdict;
+import org.plantainferry.engine.capacity.WorkKind;
 import org.plantainferry.engine.catalog.ReadGuarantee;
 import org.plantainferry.engine.retry.FailedAttempt;
 import org.plantainferry.engine.retry.RetryDecision;
@@ -36,6 +37,7 @@
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final ConnectionPurpose mPurpose;
+    private final WorkKind mWorkKind;
     private final Set<String> mExcluded = new HashSet<>();
     private final List<ConnectionAcquisition> mAcquisitions = new ArrayList<>(1);
     // The connections of the attempts that have no answer yet.
@@ -66,6 +68,7 @@
         long timeout = context.route().statementTimeoutMillis();
         mDeadlineNanos = mArrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeout);
         mPurpose = purpose();
+        mWorkKind = context.workKind(statement);
     }
 
     private ConnectionPurpose purpose() {
@@ -101,7 +104,7 @@
     }
 
     private GroupRoom room() {
-        return new GroupRoom(group(), mContext.workspace(), mContext.workKind(mStatement));
+        return new GroupRoom(group(), mContext.workspace(), mWorkKind);
     }
 
     private void attempt(boolean hedge) {
@@ -115,7 +118,7 @@
                         mContext.workspace(),
                         mContext.route(),
                         mPurpose,
-                        mContext.workKind(mStatement),
+                        mWorkKind,
                         mContext.sessionState(),
                         mStatement.definition(),
                         mContext.positions().of(mContext.route().service()),
@@ -166,7 +169,7 @@
         mLastSentOn = prepared;
         mUnanswered.add(prepared.connection());
         mLastSentNanos = sent;
-        prepared.pool().onStatementSent(mContext.workKind(mStatement), sent);
+        prepared.pool().onStatementSent(mWorkKind, sent);
         mBroker.send(
                 prepared,
                 mPurpose,
@@ -184,7 +187,7 @@
             mDeadlineTimer.cancel(false);
         }
         long now = mBroker.now();
-        prepared.pool().onStatementEnded(mContext.workKind(mStatement), reply, now - sentNanos);
+        prepared.pool().onStatementEnded(mWorkKind, reply, now - sentNanos);
         group().secondAttempts().onAnswer(reply.isOverload(), now);
         if (reply.isDone()) {
             prepared.pool().health().onAnswer(now, now - sentNanos);
