--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/GatewaySettings.java
@@ -77,48 +77,6 @@
         Preconditions.notNull(resources, "resources");
     }
 
-    /** Creates the settings of a process that is told nothing of its machine. */
-    public GatewaySettings(
-            String instance,
-            String failureDomain,
-            String localAddress,
-            String callerListener,
-            String operatorListener,
-            int peerPort,
-            String storeAddress,
-            String ordersAddress,
-            long drainMillis,
-            long serverDrainMillis,
-            boolean platformFencesPrimaries,
-            long configurationMillis,
-            long keyWithdrawalMillis,
-            long rateWindowMillis,
-            double rateExcess,
-            double rateSlack,
-            Optional<Long> evacuationMillis,
-            ExperimentalSettings experimental) {
-        this(
-                instance,
-                failureDomain,
-                localAddress,
-                callerListener,
-                operatorListener,
-                peerPort,
-                storeAddress,
-                ordersAddress,
-                drainMillis,
-                serverDrainMillis,
-                platformFencesPrimaries,
-                configurationMillis,
-                keyWithdrawalMillis,
-                rateWindowMillis,
-                rateExcess,
-                rateSlack,
-                evacuationMillis,
-                experimental,
-                ResourceSettings.NONE);
-    }
-
     private static void requireNotEmpty(String text, String name) {
         Preconditions.condition(text != null && !text.isEmpty(), name + " must not be empty");
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
@@ -20,6 +20,7 @@
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.settings.ResourceSettings;
 import org.plantainferry.gateway.spi.WarmUpScript;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.gateway.traffic.FleetView;
@@ -111,7 +112,8 @@
                 settings.rateExcess(),
                 settings.rateSlack(),
                 Optional.empty(),
-                ExperimentalSettings.NONE);
+                ExperimentalSettings.NONE,
+                ResourceSettings.NONE);
     }
 
     private static RoutingConfiguration configuration() {
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ExchangeFixture.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ExchangeFixture.java
@@ -18,6 +18,7 @@
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
+import org.plantainferry.gateway.settings.ResourceSettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.traffic.FleetView;
 import org.plantainferry.gateway.traffic.PrimaryLeaseGuard;
@@ -60,7 +61,8 @@
                 0,
                 0,
                 Optional.empty(),
-                ExperimentalSettings.NONE);
+                ExperimentalSettings.NONE,
+                ResourceSettings.NONE);
     }
 
     private static int freeDatagramPort() {
