Add review case 8: a gateway alone in its list replaces a primary

A script: a drill of the store takes the registrations of three gateways; a gateway that starts later finds itself alone, and promotes a replica when the primary is cut off from it alone. The others go on at the former primary.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,5 +4,5 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-[ -f target/review-2/DrillConfigCase.class ] && [ -f target/run/plantainferry-platform.jar ] || exit 2
-exec java -Xmx256m -cp target/review-2 DrillConfigCase "$here"
+[ -f target/review-2/DrillSplitCase.class ] && [ -f target/run/plantainferry-platform.jar ] || exit 2
+exec java -Xmx256m -cp target/review-2 DrillSplitCase "$here"
--- a/review/standin-2/Group.java
+++ b/review/standin-2/Group.java
@@ -26,6 +26,7 @@
 final class Group {
     static final long ENTRY_LAPSE_MILLIS = 3 * 1_200;
     private static final long PROMOTE_MILLIS = 1_000;
+    private static final long UNAWARE_MILLIS = 1_000;
 
     /** Holds one commit of the log. */
     record Commit(long term, long number, String requestId, String item, String value) {
@@ -45,6 +46,8 @@
         private boolean mRunning;
         private boolean mDeaf;
         private boolean mDraining;
+        private boolean mCutOff;
+        private Set<String> mCutHosts = Set.of();
         private long mBorn;
         private long mCrashes;
 
@@ -72,14 +75,55 @@
         }
 
         private void copyLogOf(Server primary) {
-            if (primary != null && primary.mRunning && !mDeaf) {
+            if (primary != null && primary.mRunning && !mDeaf && !mCutOff && !primary.mCutOff) {
                 mLog.clear();
                 mLog.addAll(primary.mLog);
             }
         }
 
         String role() {
-            return this == mPrimary ? "primary" : "replica";
+            return leads() ? "primary" : "replica";
+        }
+
+        /** Returns whether it takes itself for the primary; a partitioned former one does, too. */
+        boolean leads() {
+            return this == mPrimary || this == mUnaware;
+        }
+
+        long term() {
+            return this == mUnaware ? mUnawareTerm : mTerm;
+        }
+
+        /** Partitions it from the other servers and from some hosts, which hear nothing from it. */
+        void cutOff(Set<String> hosts) {
+            synchronized (Group.this) {
+                mCutOff = true;
+                mCutHosts = hosts;
+                mRecord.line(mId, "is cut off from the other servers and from " + hosts);
+            }
+        }
+
+        /** Ends the partition; a second later, a former primary knows of its successor. */
+        void reconnect() {
+            synchronized (Group.this) {
+                mCutOff = false;
+                mCutHosts = Set.of();
+                mRecord.line(mId, "is reached by all again");
+                Group.this.notifyAll();
+            }
+            Store.daemon(
+                            () -> {
+                                sleep(UNAWARE_MILLIS);
+                                synchronized (Group.this) {
+                                    if (this == mUnaware) {
+                                        mUnaware = null;
+                                        copyLogOf(mPrimary);
+                                        mRecord.line(mId, "is a replica of " + mPrimary.mId + " now");
+                                    }
+                                }
+                                register();
+                            })
+                    .start();
         }
 
         Map<String, Object> entry() {
@@ -166,7 +210,11 @@
     private final Map<String, Server> mServers = new LinkedHashMap<>();
     private final List<Run> mRuns = new ArrayList<>();
     private Server mPrimary;
+    // The former primary while it can't know that another server leads, where that isn't fenced.
+    private Server mUnaware;
+    private long mUnawareTerm;
     private long mTerm = 1;
+    private double mLedSeconds;
     private long mPromotions;
     private long mDigests;
 
@@ -218,6 +266,11 @@
         return List.copyOf(mRuns);
     }
 
+    /** Returns when the newest primary took the lead. */
+    synchronized double ledSeconds() {
+        return mLedSeconds;
+    }
+
     synchronized long promotions() {
         return mPromotions;
     }
@@ -249,12 +302,17 @@
                 return;
             }
             former = mPrimary;
+            if (former != null && former.mRunning && former.mCutOff) {
+                mUnaware = former;
+                mUnawareTerm = mTerm;
+            }
             mPrimary = server;
+            mLedSeconds = mRecord.seconds();
             mTerm++;
             mPromotions++;
             mRecord.line(server.mId, "leads term " + mTerm + " with what it had received: " + server.received());
             for (Server other : mServers.values()) {
-                if (other != server && other.mRunning) {
+                if (other != server && other != mUnaware && other.mRunning) {
                     other.copyLogOf(server);
                 }
             }
@@ -314,6 +372,11 @@
         private String answer(String line) throws IOException {
             String[] words = line.split(" ", 3);
             if (words[0].equals("STARTUP")) {
+                synchronized (Group.this) {
+                    if (!awaitPath()) {
+                        return null;
+                    }
+                }
                 String[] who = words[2].split(" ");
                 boolean isRight = words[1].equals(mService) && (who.length < 2 || who[1].equals(mServer.mId));
                 return isRight ? ready() : "ERR WRONGHOST " + mServer.mId + "\r\n";
@@ -331,21 +394,35 @@
                 }
             }
             synchronized (Group.this) {
-                if (!mServer.mRunning) {
+                if (!awaitPath() || !mServer.mRunning) {
                     return null;
                 }
                 return run(id, text);
             }
         }
 
+        /** Waits while the other side is cut off; false if a statement was lost that way. */
+        private boolean awaitPath() {
+            boolean isLost = false;
+            while (mServer.mCutHosts.contains(mSocket.getInetAddress().getHostAddress())) {
+                isLost = true;
+                try {
+                    Group.this.wait();
+                } catch (InterruptedException e) {
+                    return false;
+                }
+            }
+            return !isLost;
+        }
+
         private String run(String id, String text) {
             String[] words = text.split(" ", 3);
-            boolean isPrimary = mServer == mPrimary;
+            boolean isPrimary = mServer.leads();
             boolean isEnd = words[0].equals("COMMIT") || words[0].equals("ABORT");
             if (mMode == 'E' && !isEnd) {
                 return error("MALFORMED");
             }
-            boolean hasLostLead = mMode == 'T' && mPlain && (!isPrimary || mBeginTerm != mTerm);
+            boolean hasLostLead = mMode == 'T' && mPlain && (!isPrimary || mBeginTerm != mServer.term());
             if (hasLostLead && !words[0].equals("ABORT")) {
                 mWrites.clear();
                 String answer = error("READONLY");
@@ -362,7 +439,7 @@
                     }
                     mMode = 'T';
                     mPlain = words.length == 1;
-                    mBeginTerm = mTerm;
+                    mBeginTerm = mServer.term();
                     mWrites.clear();
                     return done("-");
                 case "ABORT":
@@ -381,7 +458,11 @@
                 case "STAT":
                     return status(isPrimary);
                 case "STEPDOWN":
-                    return status(isPrimary);
+                    if (mServer == mUnaware && Long.parseLong(words[1]) > mUnawareTerm) {
+                        mUnaware = null;
+                        mRecord.line(mServer.mId, "steps down");
+                    }
+                    return status(mServer.leads());
                 case "COMMIT":
                     return commit(id, text, isPrimary);
                 default:
@@ -390,7 +471,7 @@
         }
 
         private String status(boolean isPrimary) {
-            return "ROW " + (isPrimary ? "primary " : "replica ") + mTerm + " " + mServer.received() + " 0 0 0 1\r\n" + done("-");
+            return "ROW " + (isPrimary ? "primary " : "replica ") + mServer.term() + " " + mServer.received() + " 0 0 0 1\r\n" + done("-");
         }
 
         private void ran(String id, String text) {
@@ -458,14 +539,14 @@
             long number = mServer.mLog.size();
             for (String[] write : mWrites) {
                 number++;
-                commits.add(new Commit(mTerm, number, id, write[0], write[1]));
+                commits.add(new Commit(mServer.term(), number, id, write[0], write[1]));
             }
             mServer.mLog.addAll(commits);
             int receivers = 0;
             while (true) {
                 receivers = 0;
                 for (Server other : mServers.values()) {
-                    if (other != mServer && other.mRunning && !other.mDeaf) {
+                    if (other != mServer && other != mUnaware && other.mRunning && !other.mDeaf && !mServer.mCutOff && !other.mCutOff) {
                         other.copyLogOf(mServer);
                         receivers++;
                     }
@@ -478,7 +559,7 @@
                 } catch (InterruptedException e) {
                     return false;
                 }
-                if (!mServer.mRunning || mServer != mPrimary) {
+                if (!mServer.mRunning || !mServer.leads()) {
                     return false;
                 }
             }
