--- a/review/standin-2/DrillSplitCase.java
+++ b/review/standin-2/DrillSplitCase.java
@@ -15,7 +15,7 @@
     // With TROUBLE=cut, the primary is cut off without a drill before.
     private static final boolean DRILL = !"cut".equals(System.getenv("TROUBLE"));
 
-    private static final int CALLERS_PER_GATEWAY = 8;
+    private static final int CALLERS_PER_GATEWAY = 12;
 
     private static volatile boolean sEnded;
 
@@ -94,7 +94,7 @@
             } catch (Exception e) {
                 setup.mRecord.line("caller", "no answer: " + e.getMessage());
             }
-            Group.sleep(50);
+            Group.sleep(25);
         }
     }
 
--- a/review/standin-2/Group.java
+++ b/review/standin-2/Group.java
@@ -317,6 +317,7 @@
                 }
             }
         }
+        sleep(Store.CALL_MILLIS);
         server.register();
         if (former != null) {
             former.register();
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -17,7 +17,8 @@
  */
 final class Store implements AutoCloseable {
     private static final String OBJECTS = "/plantainferry/objects/";
-    private static final long LATE_MILLIS = 3_000;
+    /** The time that the store takes for a call, as the sheets give it. */
+    static final long CALL_MILLIS = 4;
 
     private record Change(long revision, String kind, Map<String, Object> object, boolean removed) {}
 
@@ -32,9 +33,6 @@
     private long mRevision = 100;
     private long mEra = 1;
     private boolean mAway;
-    private String mLosingHost = "";
-    private int mWritesToLose;
-    private int mMachineWrites;
 
     Store(Record record) throws IOException {
         mRecord = record;
@@ -129,30 +127,6 @@
         mRecord.line("store", "is back with all that it had, era " + mEra + ", revision " + mRevision);
     }
 
-    /** Leaves the next writes of one machine unanswered, and does them some seconds later. */
-    synchronized void loseAnswers(String host, int writes) {
-        mRecord.line("store", "loses the answers of the next " + writes + " writes of " + host);
-        mLosingHost = host;
-        mWritesToLose = writes;
-    }
-
-    /** Returns how many writes of machines were received. */
-    synchronized int machineWrites() {
-        return mMachineWrites;
-    }
-
-    private synchronized boolean losesAnswer(String method, String caller) {
-        if (method.equals("GET")) {
-            return false;
-        }
-        mMachineWrites++;
-        if (!caller.equals(mLosingHost) || mWritesToLose == 0) {
-            return false;
-        }
-        mWritesToLose--;
-        return true;
-    }
-
     private void handle(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         String path = exchange.getRequestURI().getPath();
@@ -164,16 +138,6 @@
             }
         }
         String caller = exchange.getRemoteAddress().getAddress().getHostAddress();
-        if (losesAnswer(exchange.getRequestMethod(), caller)) {
-            // The condition of a create is that the object does not exist, which is checked later.
-            mRecord.line("store", "does not answer " + caller + " " + exchange.getRequestMethod() + " " + path);
-            Group.sleep(LATE_MILLIS);
-            if (exchange.getRequestMethod().equals("POST")) {
-                createLate(caller, path.substring(OBJECTS.length()).split("/")[0], body);
-            }
-            exchange.close();
-            return;
-        }
         try {
             answer(exchange, caller, path.substring(OBJECTS.length()).split("/"), query, body);
         } catch (InterruptedException e) {
@@ -181,14 +145,6 @@
         }
     }
 
-    private synchronized void createLate(String caller, String kind, String body) {
-        Map<String, Object> object = Json.object(body);
-        String name = (String) meta(object).get("Name");
-        if (!mObjects.getOrDefault(kind, new TreeMap<>()).containsKey(name)) {
-            put(caller + " (late)", kind, name, spec(object));
-        }
-    }
-
     private synchronized void answer(
             HttpExchange exchange,
             String caller,
@@ -288,13 +244,22 @@
         return (Map<String, Object>) object.get("spec");
     }
 
-    private void send(HttpExchange exchange, int status, Object body) throws IOException {
+    /** Answers after the time that a call takes, with the state of now. */
+    private void send(HttpExchange exchange, int status, Object body) {
         byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.getResponseHeaders().set("Store-Era", Long.toString(mEra));
-        exchange.sendResponseHeaders(status, bytes.length);
-        exchange.getResponseBody().write(bytes);
-        exchange.close();
+        daemon(
+                        () -> {
+                            Group.sleep(CALL_MILLIS);
+                            try (exchange) {
+                                exchange.sendResponseHeaders(status, bytes.length);
+                                exchange.getResponseBody().write(bytes);
+                            } catch (IOException e) {
+                                mRecord.line("store", "an answer was not taken: " + e.getMessage());
+                            }
+                        })
+                .start();
     }
 
     @Override
