Give no fencing token twice after the store lost a claim

Cause: the token was the stored claim's plus one. A store that comes back from a copy has lost the newest claim, and those who knew it may be gone.

The epoch forms the highest bits of a token, the holder the lowest; a token is above all that the process and its peers know. A claim is held only if it was read and written in one epoch; an answer without epoch or of an ended one grants nothing. The HTTP response keeps its headers for this. A store without the header works as before.

Why it works: an epoch rises with each return from a copy, so a token of a later epoch is higher without any knowledge of the earlier ones.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.PeerListener;
@@ -85,21 +86,18 @@
                 new PositionExchange(loop, settings, traffic, peers, clock, new Random());
         mQuorumLeaseExchange =
                 new QuorumLeaseExchange(
-                        loop, settings, peers, platform.claims(), clock, guard, new Random());
+                        loop,
+                        settings,
+                        peers,
+                        platform.claims(),
+                        following.epochs(),
+                        clock,
+                        guard,
+                        new Random());
         mQuorumLeaseExchange.fenceRegistry().setPrimaryListener(control::onPrimaryFound);
         mGuardsPrimaries = !settings.platformFencesPrimaries();
         ReplacementContext context =
-                new ReplacementContext(
-                        settings.instance(),
-                        platform.claims(),
-                        platform.promotions(),
-                        probe,
-                        mQuorumLeaseExchange.fenceExchange(),
-                        mQuorumLeaseExchange.fenceRegistry(),
-                        platform.instances(),
-                        mGuardsPrimaries,
-                        clock,
-                        mView);
+                newReplacementContext(settings, platform, probe, following.epochs(), clock);
         mPrimaryMonitor =
                 new PrimaryMonitor(
                         loop,
@@ -116,6 +114,28 @@
                                         loop, context, service, cause, lastPrimary, endListener));
     }
 
+    private ReplacementContext newReplacementContext(
+            GatewaySettings settings,
+            PlatformConnection platform,
+            ServerProbe probe,
+            StoreEpochTracker epochs,
+            LongSupplier clock) {
+        FenceRegistry fences = mQuorumLeaseExchange.fenceRegistry();
+        return new ReplacementContext(
+                settings.instance(),
+                platform.claims(),
+                platform.promotions(),
+                probe,
+                mQuorumLeaseExchange.fenceExchange(),
+                fences,
+                new FencingTokenSource(settings.instance(), fences),
+                epochs,
+                platform.instances(),
+                mGuardsPrimaries,
+                clock,
+                mView);
+    }
+
     private static ServerProbe newProbe(
             EventLoop loop,
             GatewaySettings settings,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -337,9 +337,10 @@
             promote(server);
             return;
         }
-        PromotionOrder order =
-                new PromotionOrder(mClaimManager.currentClaim().fencingToken() + 1, server, 0);
+        long token = mClaimManager.nextToken();
+        PromotionOrder order = new PromotionOrder(token, server, 0);
         mClaimManager.renew(
+                token,
                 order,
                 mUnansweredPromotion,
                 isOwn -> {
@@ -373,6 +374,7 @@
                 return;
             }
             mClaimManager.renew(
+                    mClaimManager.nextToken(),
                     mNewestOrder,
                     mUnansweredPromotion,
                     isOwn -> {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
@@ -7,9 +7,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.PromotionOrder;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoreAnswer;
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.plantainferry.network.http.Futures;
 
@@ -36,9 +39,13 @@
     private final String mHolder;
     private final String mService;
     private final BooleanSupplier mObsolete;
+    private final FencingTokenSource mTokens;
+    private final StoreEpochTracker mEpochs;
     private Optional<Long> mForeignClaimVersion = Optional.empty();
     private long mForeignClaimSeenNanos;
     private PromotionClaim mClaim;
+    // The epoch in which the claim was written; it is void in any other.
+    private StoreEpoch mEpoch = StoreEpoch.UNKNOWN;
     private long mLastWriteNanos;
 
     /**
@@ -54,6 +61,8 @@
         mHolder = context.holder();
         mService = service;
         mObsolete = obsolete;
+        mTokens = context.tokens();
+        mEpochs = context.epochs();
     }
 
     private long millisSince(long nanos) {
@@ -86,13 +95,13 @@
         mClaimStore
                 .read(mService)
                 .whenComplete(
-                        (stored, failure) ->
+                        (answer, failure) ->
                                 mLoop.execute(
                                         () -> {
                                             if (failure != null) {
                                                 callback.accept(storeFailed(failure));
                                             } else {
-                                                onRead(stored, callback);
+                                                onRead(answer, callback);
                                             }
                                         }));
     }
@@ -105,7 +114,13 @@
         mLoop.schedule(() -> acquire(callback), FOREIGN_CLAIM_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void onRead(Optional<StoredClaim> stored, Consumer<Optional<String>> callback) {
+    private void onRead(
+            StoreAnswer<Optional<StoredClaim>> answer, Consumer<Optional<String>> callback) {
+        if (!isCurrent(answer)) {
+            callback.accept(Optional.of("store: the epoch is missing or has ended"));
+            return;
+        }
+        Optional<StoredClaim> stored = answer.content();
         boolean isForeign =
                 stored.isPresent()
                         && stored.get().claim().open()
@@ -114,7 +129,8 @@
             acquireLater(callback);
             return;
         }
-        long token = stored.map(current -> current.claim().fencingToken()).orElse(0L) + 1;
+        mEpoch = answer.epoch();
+        long token = mTokens.next(mService, mEpoch, stored.map(StoredClaim::claim));
         PromotionOrder newestOrder =
                 stored.map(current -> current.claim().newestOrder()).orElse(PromotionOrder.NONE);
         boolean unansweredPromotion =
@@ -142,33 +158,60 @@
         return millisSince(mForeignClaimSeenNanos) >= FOREIGN_CLAIM_EXPIRY_MILLIS;
     }
 
+    /** Returns whether an answer is of the newest epoch, so that claims may rest on it. */
+    private boolean isCurrent(StoreAnswer<?> answer) {
+        return mEpochs.observe(answer.epoch()) == StoreEpochTracker.Verdict.CURRENT;
+    }
+
     private void onWritten(
-            Boolean written, Throwable failure, Consumer<Optional<String>> callback) {
+            StoreAnswer<Boolean> answer, Throwable failure, Consumer<Optional<String>> callback) {
         if (failure != null) {
             // The claim may have been written all the same; the next one gets a higher token.
             callback.accept(storeFailed(failure));
-        } else if (!written) {
+        } else if (!isWrittenInOwnEpoch(answer)) {
             acquireLater(callback);
         } else {
             callback.accept(Optional.empty());
         }
     }
 
+    /**
+     * Returns whether a write replaced the version that was read before.
+     *
+     * <p>In another epoch the same version may be that of a claim that was never read.
+     */
+    private boolean isWrittenInOwnEpoch(StoreAnswer<Boolean> answer) {
+        mEpochs.observe(answer.epoch());
+        return answer.content() && answer.epoch().equals(mEpoch);
+    }
+
+    /** Returns a token for the renewal of the claim, higher than all earlier ones. */
+    long nextToken() {
+        return mTokens.next(mService, mEpoch, Optional.of(mClaim));
+    }
+
     /**
      * Writes the claim with a new token, unless another instance has taken it over.
      *
+     * @param token the token, from {@link #nextToken}
      * @param order the promotion order to record
      * @param unansweredPromotion whether a promotion call had no answer and may be executed late
      * @param callback runs once; receives whether the claim was renewed
      */
-    void renew(PromotionOrder order, boolean unansweredPromotion, Consumer<Boolean> callback) {
-        PromotionClaim renewed = mClaim.renewed(order, unansweredPromotion);
+    void renew(
+            long token,
+            PromotionOrder order,
+            boolean unansweredPromotion,
+            Consumer<Boolean> callback) {
+        PromotionClaim renewed = mClaim.renewed(token, order, unansweredPromotion);
         writeIfHeld(renewed)
                 .whenComplete(
                         (write, failure) ->
                                 mLoop.execute(
                                         () -> {
-                                            boolean isOwn = failure == null && write.isWritten();
+                                            boolean isOwn =
+                                                    failure == null
+                                                            && isWrittenInOwnEpoch(write.answer());
                                             if (isOwn) {
                                                 mClaim = renewed;
                                                 mLastWriteNanos = write.sentNanos();
@@ -184,26 +227,29 @@
     }
 
     /** Represents a write of a claim, with the time at which its call was sent. */
-    private record ClaimWrite(boolean isWritten, long sentNanos) {}
+    private record ClaimWrite(StoreAnswer<Boolean> answer, long sentNanos) {}
 
     /** Writes a claim if the store still contains the current claim of this instance. */
     private CompletableFuture<ClaimWrite> writeIfHeld(PromotionClaim claim) {
         return mClaimStore
                 .read(mService)
                 .thenCompose(
-                        stored -> {
+                        read -> {
                             long sentNanos = mClock.getAsLong();
+                            Optional<StoredClaim> stored = read.content();
                             boolean isOwn =
-                                    stored.isPresent() && stored.get().claim().equals(mClaim);
-                            CompletableFuture<Boolean> written =
+                                    read.epoch().equals(mEpoch)
+                                            && stored.isPresent()
+                                            && stored.get().claim().equals(mClaim);
+                            CompletableFuture<StoreAnswer<Boolean>> written =
                                     isOwn
                                             ? mClaimStore.write(
                                                     mService,
                                                     Optional.of(stored.get().version()),
                                                     claim)
-                                            : CompletableFuture.completedFuture(false);
-                            return written.thenApply(
-                                    isWritten -> new ClaimWrite(isWritten, sentNanos));
+                                            : CompletableFuture.completedFuture(
+                                                    new StoreAnswer<>(read.epoch(), false));
+                            return written.thenApply(answer -> new ClaimWrite(answer, sentNanos));
                         });
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
@@ -12,6 +12,7 @@
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.membership.DomainRepresentatives;
 import org.plantainferry.engine.promotion.QuorumLease;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.DomainContact;
@@ -78,6 +79,7 @@
             GatewaySettings settings,
             PeerChannel peers,
             ClaimStore claims,
+            StoreEpochTracker epochs,
             LongSupplier clock,
             PrimaryLeaseGuard guard,
             Random random) {
@@ -91,7 +93,8 @@
         mFenceRegistry = new FenceRegistry(clock);
         mFenceRegistry.addChangeListener(this::publish);
         mFenceExchange = new FenceExchange(loop, mInstance, peers, clock, mFenceRegistry);
-        mStoreLease = new StoreLease(loop, claims, clock, mFenceRegistry::merge, this::publish);
+        mStoreLease =
+                new StoreLease(loop, claims, epochs, clock, mFenceRegistry::merge, this::publish);
         // Answers to questions of an earlier process of this instance must not match.
         mLastQuestionNumber = random.nextLong() >>> 1;
         mProcessId = random.nextLong() >>> 1;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
@@ -3,6 +3,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.GroupSettings;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.InstanceRegistry;
 import org.plantainferry.gateway.spi.PromotionClient;
@@ -16,6 +17,8 @@
  * @param fenceExchange announces replacements, so that no instance uses a primary that is being
  *     replaced
  * @param fenceRegistry the replacement state of each group
+ * @param tokens gives out the fencing tokens of claims
+ * @param epochs the epochs of the store
  * @param instances the registry of instances in the store
  * @param guardsPrimaries whether this system has to fence former primaries, because the platform
  *     does not
@@ -27,6 +30,8 @@
         ServerProbe probe,
         FenceExchange fenceExchange,
         FenceRegistry fenceRegistry,
+        FencingTokenSource tokens,
+        StoreEpochTracker epochs,
         InstanceRegistry instances,
         boolean guardsPrimaries,
         LongSupplier clock,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
@@ -9,9 +9,11 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.promotion.GroupFence;
 import org.plantainferry.engine.promotion.QuorumLease;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoreAnswer;
 import org.plantainferry.network.http.Futures;
 
 /**
@@ -28,6 +30,7 @@
 
     private final EventLoop mLoop;
     private final ClaimStore mClaimStore;
+    private final StoreEpochTracker mEpochs;
     private final LongSupplier mClock;
     private final BiConsumer<String, GroupFence> mFenceConsumer;
     private final Runnable mReadListener;
@@ -47,11 +50,13 @@
     StoreLease(
             EventLoop loop,
             ClaimStore store,
+            StoreEpochTracker epochs,
             LongSupplier clock,
             BiConsumer<String, GroupFence> fenceConsumer,
             Runnable readListener) {
         mLoop = loop;
         mClaimStore = store;
+        mEpochs = epochs;
         mClock = clock;
         mFenceConsumer = fenceConsumer;
         mReadListener = readListener;
@@ -78,10 +83,11 @@
         mClaimStore
                 .readAll()
                 .whenComplete(
-                        (claims, failure) -> mLoop.execute(() -> onClaims(claims, failure, now)));
+                        (answer, failure) -> mLoop.execute(() -> onAnswer(answer, failure, now)));
     }
 
-    private void onClaims(Map<String, PromotionClaim> claims, Throwable failure, long sentNanos) {
+    private void onAnswer(
+            StoreAnswer<Map<String, PromotionClaim>> answer, Throwable failure, long sentNanos) {
         mReading = false;
         if (failure != null) {
             // The lease expires unless a later read succeeds.
@@ -89,6 +95,15 @@
                     "unconfirmed", mClaimedServices, Futures.unwrap(failure).getMessage());
             return;
         }
+        if (mEpochs.observe(answer.epoch()) != StoreEpochTracker.Verdict.CURRENT) {
+            GatewayEvent.STORE_LEASE.log(
+                    "unconfirmed", mClaimedServices, "the epoch is missing or has ended");
+            return;
+        }
+        onClaims(answer.content(), sentNanos);
+    }
+
+    private void onClaims(Map<String, PromotionClaim> claims, long sentNanos) {
         Set<String> claimedServices = new HashSet<>();
         claims.forEach(
                 (service, claim) -> {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
@@ -33,7 +33,7 @@
 
     /** Returns whether a page is older than what is known, so that it must not be applied. */
     boolean isOutdated(FeedPage<T> page) {
-        return page.revision() < mKnownRevision;
+        return page.revision().number() < mKnownRevision;
     }
 
     /** Replaces all objects; returns whether any of them was added, changed or removed. */
@@ -48,9 +48,9 @@
             put(entry);
         }
         boolean isAnyRemoved = !mEntries.keySet().containsAll(before.keySet());
-        mKnownRevision = page.revision();
+        mKnownRevision = page.revision().number();
         mLastChangeRevision =
-                isAnyRemoved ? page.revision() : Math.max(mLastChangeRevision, newest);
+                isAnyRemoved ? page.revision().number() : Math.max(mLastChangeRevision, newest);
         return changed || isAnyRemoved;
     }
 
@@ -72,9 +72,9 @@
     /** Applies changes in their order. */
     void apply(FeedPage<T> page) {
         page.entries().forEach(this::put);
-        mKnownRevision = page.revision();
+        mKnownRevision = page.revision().number();
         if (!page.entries().isEmpty()) {
-            mLastChangeRevision = page.revision();
+            mLastChangeRevision = page.revision().number();
         }
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
@@ -174,7 +174,7 @@
         onSuccess(outageNanos);
         mListener.onSnapshot(page, OptionalLong.of(sentNanos), outageNanos);
         if (mWatching && generation == mReadGeneration) {
-            watch(page.revision());
+            watch(page.revision().number());
         }
     }
 
@@ -222,13 +222,13 @@
         }
         boolean isBurst = mClock.getAsLong() - sentNanos < BURST_NANOS;
         if (!isBurst || mBatchMillis == 0) {
-            watch(page.revision());
+            watch(page.revision().number());
             return;
         }
         mLoop.schedule(
                 () -> {
                     if (generation == mReadGeneration) {
-                        watch(page.revision());
+                        watch(page.revision().number());
                     }
                 },
                 mBatchMillis,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/SharedFeed.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/SharedFeed.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.peer.generated.FeedName;
 import org.plantainferry.gateway.peer.generated.FeedObject;
 import org.plantainferry.gateway.peer.generated.FeedUpdate;
@@ -143,7 +144,8 @@
                             : Optional.of(mCodec.decode(object.getName(), object.getContent()));
             entries.add(new FeedEntry<>(object.getName(), object.getRevision(), value));
         }
-        FeedPage<T> page = new FeedPage<>(update.getRevision(), entries);
+        FeedPage<T> page =
+                new FeedPage<>(StoreRevision.withoutEpoch(update.getRevision()), entries);
         if (update.getComplete()) {
             onSnapshot(
                     page,
--- /dev/null
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreEpochTracker.java
@@ -0,0 +1,65 @@
+package org.plantainferry.gateway.feed;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainferry.engine.freshness.StoreEpoch;
+import org.plantainferry.gateway.log.GatewayEvent;
+
+/**
+ * Tracks the newest epoch of the store that this instance has seen.
+ *
+ * <p>Answers of the store arrive over several connections, so one of an earlier epoch may arrive
+ * after one of a later epoch. Used by the control thread only.
+ */
+public final class StoreEpochTracker {
+    /** Lists what the epoch of an answer says about its use. */
+    public enum Verdict {
+        /** The answer is of the newest epoch, or the store has never reported one. */
+        CURRENT,
+        /** The answer reports no epoch, though the store reported one before. */
+        MISSING,
+        /** The answer is of an epoch that has ended. */
+        OUTDATED
+    }
+
+    /** Listens for restorations of the store. */
+    public interface Listener {
+        /** Called when the store was found to have been restored from a copy. */
+        void onRestored(StoreEpoch epoch);
+    }
+
+    private final List<Listener> mListeners = new ArrayList<>();
+    private StoreEpoch mNewest = StoreEpoch.UNKNOWN;
+
+    /** Adds a listener, which is called once for each epoch after the first one. */
+    public void addListener(Listener listener) {
+        mListeners.add(listener);
+    }
+
+    /** Returns the newest epoch; unknown if the store has never reported one. */
+    public StoreEpoch newest() {
+        return mNewest;
+    }
+
+    /** Records the epoch of an answer and returns what it says about the use of the answer. */
+    public Verdict observe(StoreEpoch epoch) {
+        if (epoch.equals(mNewest)) {
+            return Verdict.CURRENT;
+        }
+        if (!epoch.isKnown()) {
+            GatewayEvent.STORE_EPOCH_IGNORED.log("none", mNewest.number());
+            return Verdict.MISSING;
+        }
+        if (epoch.compareTo(mNewest) < 0) {
+            GatewayEvent.STORE_EPOCH_IGNORED.log(epoch.number(), mNewest.number());
+            return Verdict.OUTDATED;
+        }
+        StoreEpoch before = mNewest;
+        mNewest = epoch;
+        if (before.isKnown()) {
+            GatewayEvent.STORE_RESTORED.log(epoch.number(), before.number());
+            List.copyOf(mListeners).forEach(listener -> listener.onRestored(epoch));
+        }
+        return Verdict.CURRENT;
+    }
+}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -44,6 +44,7 @@
     private final List<SharedFeed<?>> mFeeds = new ArrayList<>();
     private final Map<SharedFeed<?>, FeedFollower<?>> mFollowers = new HashMap<>();
     private final FeedPublisher mPublisher = new FeedPublisher(mFeeds);
+    private final StoreEpochTracker mEpochs = new StoreEpochTracker();
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
     private FeedFollower<InstanceEntry> mInstancesFollower;
     private Optional<FeedLink> mLink = Optional.empty();
@@ -119,6 +120,11 @@
         mFollowers.put(feed, follower);
     }
 
+    /** Returns the epochs of the store that this instance has seen. */
+    public StoreEpochTracker epochs() {
+        return mEpochs;
+    }
+
     /** Returns the protocol over which other instances follow this one. */
     public PeerProtocol protocol() {
         return mPublisher;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -54,6 +54,12 @@
     EVACUATION_REJECTED(6112, Logger.Level.ERROR, "evacuation-rejected name=%s reason=\"%s\""),
     /** The store entry of a server is invalid and names no server to use. */
     SERVER_REJECTED(6114, Logger.Level.WARN, "server-rejected id=%s property=%s"),
+    /**
+     * The store was restored from a copy, and may have lost what it acknowledged after that copy.
+     */
+    STORE_RESTORED(6115, Logger.Level.WARN, "store-restored epoch=%s before=%s"),
+    /** The store reported no usable epoch, or one that has ended. */
+    STORE_EPOCH_IGNORED(6116, Logger.Level.WARN, "store-epoch-ignored epoch=%s newest=%s"),
     /** A message to another instance exceeds the size limit and was not sent. */
     PEER_MESSAGE_TOO_LONG(6113, Logger.Level.ERROR, "peer-message-too-long content=%s bytes=%s"),
     /** A primary is suspected to have failed. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/FeedPage.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/FeedPage.java
@@ -1,6 +1,7 @@
 package org.plantainferry.gateway.spi;
 
 import java.util.List;
+import org.plantainferry.engine.freshness.StoreRevision;
 
 /**
  * Contains the objects, or the changes of objects, up to a revision of the store.
@@ -8,4 +9,4 @@
  * @param revision the revision after which the next watch starts
  * @since 0.2
  */
-public record FeedPage<T>(long revision, List<FeedEntry<T>> entries) {}
+public record FeedPage<T>(StoreRevision revision, List<FeedEntry<T>> entries) {}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
@@ -20,9 +20,9 @@
         boolean open,
         PromotionOrder newestOrder,
         boolean unansweredPromotion) {
-    /** Returns an open claim of the same holder with the next fencing token and an order. */
-    public PromotionClaim renewed(PromotionOrder order, boolean unanswered) {
-        return new PromotionClaim(holder, fencingToken + 1, true, order, unanswered);
+    /** Returns an open claim of the same holder with a higher fencing token and an order. */
+    public PromotionClaim renewed(long token, PromotionOrder order, boolean unanswered) {
+        return new PromotionClaim(holder, token, true, order, unanswered);
     }
 
     /** Returns this claim as closed, with the outcome of the replacement. */
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
@@ -12,9 +12,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.plantainferry.engine.freshness.StoreEpoch;
+import org.plantainferry.engine.promotion.FencingTokens;
 import org.plantainferry.engine.promotion.PromotionOrder;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoreAnswer;
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -28,29 +32,40 @@
     private static final String SERVICE = "svc";
     private static final long POLLS_MILLIS = 800;
 
-    /** Keeps one claim, as the store does. */
+    /** Keeps one claim, as the store does, and may be restored from a copy. */
     private final class FakeStore implements ClaimStore {
         private Optional<StoredClaim> mClaim = Optional.empty();
+        private StoreEpoch mEpoch = StoreEpoch.UNKNOWN;
+        private Runnable mBeforeWrite = () -> {};
 
         @Override
-        public CompletableFuture<Map<String, PromotionClaim>> readAll() {
+        public CompletableFuture<StoreAnswer<Map<String, PromotionClaim>>> readAll() {
             throw new AssertionError("unexpected read of all claims");
         }
 
         @Override
-        public synchronized CompletableFuture<Optional<StoredClaim>> read(String service) {
+        public synchronized CompletableFuture<StoreAnswer<Optional<StoredClaim>>> read(
+                String service) {
             mNowMillis += mReadMillis;
-            return CompletableFuture.completedFuture(mClaim);
+            return CompletableFuture.completedFuture(new StoreAnswer<>(mEpoch, mClaim));
         }
 
         @Override
-        public synchronized CompletableFuture<Boolean> write(
+        public synchronized CompletableFuture<StoreAnswer<Boolean>> write(
                 String service, Optional<Long> expectedVersion, PromotionClaim claim) {
-            if (!mClaim.map(StoredClaim::version).equals(expectedVersion)) {
-                return CompletableFuture.completedFuture(false);
+            Runnable beforeWrite = mBeforeWrite;
+            mBeforeWrite = () -> {};
+            beforeWrite.run();
+            boolean isWritten = mClaim.map(StoredClaim::version).equals(expectedVersion);
+            if (isWritten) {
+                mClaim = Optional.of(new StoredClaim(expectedVersion.orElse(0L) + 1, claim));
             }
-            mClaim = Optional.of(new StoredClaim(expectedVersion.orElse(0L) + 1, claim));
-            return CompletableFuture.completedFuture(true);
+            return CompletableFuture.completedFuture(new StoreAnswer<>(mEpoch, isWritten));
+        }
+
+        synchronized void restore(long epoch, Optional<StoredClaim> copy) {
+            mEpoch = new StoreEpoch(epoch);
+            mClaim = copy;
         }
     }
 
@@ -60,7 +75,17 @@
     private volatile long mNowMillis;
     private volatile long mReadMillis;
 
+    private long nowNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(mNowMillis);
+    }
+
+    /** Creates the manager of a process that knows nothing of earlier claims. */
     private PromotionClaimManager manager(String holder) {
+        return manager(holder, new StoreEpochTracker());
+    }
+
+    private PromotionClaimManager manager(String holder, StoreEpochTracker epochs) {
+        FenceRegistry fences = new FenceRegistry(this::nowNanos);
         ReplacementContext context =
                 new ReplacementContext(
                         holder,
@@ -68,18 +93,41 @@
                         null,
                         null,
                         null,
-                        null,
+                        fences,
+                        new FencingTokenSource(holder, fences),
+                        epochs,
                         null,
                         true,
-                        () -> TimeUnit.MILLISECONDS.toNanos(mNowMillis),
+                        this::nowNanos,
                         null);
         return new PromotionClaimManager(mLoop, context, SERVICE, () -> false);
     }
 
+    private PromotionClaim acquire(PromotionClaimManager manager) throws Exception {
+        mLoop.submit(() -> manager.acquire(mAcquired::add)).sync();
+        assertEquals(mAcquired.poll(5, TimeUnit.SECONDS), Optional.empty());
+        return manager.currentClaim();
+    }
+
+    private Boolean renew(PromotionClaimManager manager) throws Exception {
+        BlockingQueue<Boolean> renewed = new LinkedBlockingQueue<>();
+        mLoop.submit(
+                        () ->
+                                manager.renew(
+                                        manager.nextToken(),
+                                        PromotionOrder.NONE,
+                                        false,
+                                        renewed::add))
+                .sync();
+        return renewed.poll(5, TimeUnit.SECONDS);
+    }
+
     @BeforeMethod
     public void startLoop() {
         mLoop = new DefaultEventLoop();
         mStore.mClaim = Optional.empty();
+        mStore.mEpoch = StoreEpoch.UNKNOWN;
+        mStore.mBeforeWrite = () -> {};
         mNowMillis = 0;
         mReadMillis = 0;
     }
@@ -119,12 +167,93 @@
     @Test
     public void maySendAPromotionAfterARenewalWhoseReadWasSlow() throws Exception {
         PromotionClaimManager manager = manager("holder");
-        mLoop.submit(() -> manager.acquire(mAcquired::add)).sync();
-        assertEquals(mAcquired.poll(5, TimeUnit.SECONDS), Optional.empty());
+        acquire(manager);
         mReadMillis = 1_000;
-        BlockingQueue<Boolean> renewed = new LinkedBlockingQueue<>();
-        mLoop.submit(() -> manager.renew(PromotionOrder.NONE, false, renewed::add)).sync();
-        assertEquals(renewed.poll(5, TimeUnit.SECONDS), Boolean.TRUE);
+        assertEquals(renew(manager), Boolean.TRUE);
         assertTrue(manager.maySendPromotion());
     }
+
+    /** Guards against one token of two holders after the store lost the claim of the first. */
+    @Test
+    public void givesNoTokenTwiceAlthoughTheStoreLostTheClaimAndItsHoldersAreGone()
+            throws Exception {
+        mStore.restore(1, Optional.empty());
+        PromotionClaimManager first = manager("first");
+        acquire(first);
+        assertEquals(renew(first), Boolean.TRUE);
+        long firstToken = first.currentClaim().fencingToken();
+        mStore.restore(2, Optional.empty());
+        long secondToken = acquire(manager("second")).fencingToken();
+        // The store is restored from the same copy once more.
+        mStore.restore(3, Optional.empty());
+        long thirdToken = acquire(manager("third")).fencingToken();
+        assertTrue(secondToken > firstToken, secondToken + " after " + firstToken);
+        assertTrue(thirdToken > secondToken, thirdToken + " after " + secondToken);
+    }
+
+    /** Guards against a lower token than that of a claim which a build without epochs wrote. */
+    @Test
+    public void givesHigherTokensThanABuildThatKnowsNoEpochAndTheReverse() throws Exception {
+        mStore.restore(1, Optional.empty());
+        PromotionClaim former = new PromotionClaim("former", 41, false, PromotionOrder.NONE, false);
+        mStore.mClaim = Optional.of(new StoredClaim(7, former));
+        PromotionClaim claim = acquire(manager("next"));
+        assertTrue(claim.fencingToken() > 41, claim.toString());
+        // Such a build increases the stored token by one.
+        PromotionClaim later =
+                new PromotionClaim(
+                        "former", claim.fencingToken() + 1, false, PromotionOrder.NONE, false);
+        mStore.mClaim = Optional.of(new StoredClaim(9, later));
+        PromotionClaim newest = acquire(manager("newest"));
+        assertTrue(newest.fencingToken() > later.fencingToken(), newest.toString());
+    }
+
+    @Test
+    public void increasesTokensByOneInAStoreThatReportsNoEpoch() throws Exception {
+        assertEquals(acquire(manager("holder")).fencingToken(), 1);
+        mNowMillis += 10_000;
+        assertEquals(acquire(manager("holder")).fencingToken(), 2);
+    }
+
+    /** Guards against a write of before a restoration that replaces a claim of after it. */
+    @Test
+    public void holdsNoClaimThatReplacedOneWhichItNeverRead() throws Exception {
+        PromotionClaim closed = new PromotionClaim("other", 5, false, PromotionOrder.NONE, false);
+        mStore.restore(1, Optional.of(new StoredClaim(3, closed)));
+        PromotionClaim unread =
+                new PromotionClaim(
+                        "other",
+                        FencingTokens.next(new StoreEpoch(2), 0, "other"),
+                        true,
+                        PromotionOrder.NONE,
+                        false);
+        mStore.mBeforeWrite = () -> mStore.restore(2, Optional.of(new StoredClaim(3, unread)));
+        PromotionClaim claim = acquire(manager("late"));
+        assertTrue(claim.fencingToken() > unread.fencingToken(), claim + " after " + unread);
+        assertEquals(mStore.mClaim.map(StoredClaim::claim), Optional.of(claim));
+    }
+
+    @Test
+    public void losesItsClaimWhenTheStoreIsRestored() throws Exception {
+        mStore.restore(1, Optional.empty());
+        PromotionClaimManager manager = manager("holder");
+        acquire(manager);
+        // The copy was made after the claim was written.
+        mStore.restore(2, mStore.mClaim);
+        assertEquals(renew(manager), Boolean.FALSE);
+    }
+
+    @Test
+    public void restsNoClaimOnAnAnswerWithoutEpochOrOfAnEpochThatHasEnded() throws Exception {
+        StoreEpochTracker epochs = new StoreEpochTracker();
+        epochs.observe(new StoreEpoch(3));
+        PromotionClaimManager manager = manager("holder", epochs);
+        for (long epoch : new long[] {0, 2}) {
+            mStore.mEpoch = new StoreEpoch(epoch);
+            mLoop.submit(() -> manager.acquire(mAcquired::add)).sync();
+            assertTrue(mAcquired.poll(5, TimeUnit.SECONDS).isPresent(), "epoch " + epoch);
+        }
+        mStore.restore(3, Optional.empty());
+        acquire(manager);
+    }
 }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
@@ -8,13 +8,16 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.PromotionOrder;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.peer.generated.DomainContact;
 import org.plantainferry.gateway.peer.generated.LeadAnswer;
 import org.plantainferry.gateway.peer.generated.LeadQuestion;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoreAnswer;
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.plantainferry.gateway.traffic.PrimaryLeaseGuard;
 import org.testng.annotations.AfterMethod;
@@ -37,18 +40,19 @@
     /** Has a claim to the group, so that the lease of the store does not apply to it. */
     private static final class ClaimedStore implements ClaimStore {
         @Override
-        public CompletableFuture<Map<String, PromotionClaim>> readAll() {
+        public CompletableFuture<StoreAnswer<Map<String, PromotionClaim>>> readAll() {
+            PromotionClaim claim = new PromotionClaim("i9", 1, true, PromotionOrder.NONE, false);
             return CompletableFuture.completedFuture(
-                    Map.of(SERVICE, new PromotionClaim("i9", 1, true, PromotionOrder.NONE, false)));
+                    new StoreAnswer<>(StoreEpoch.UNKNOWN, Map.of(SERVICE, claim)));
         }
 
         @Override
-        public CompletableFuture<Optional<StoredClaim>> read(String service) {
+        public CompletableFuture<StoreAnswer<Optional<StoredClaim>>> read(String service) {
             throw new AssertionError("unexpected read of a single claim");
         }
 
         @Override
-        public CompletableFuture<Boolean> write(
+        public CompletableFuture<StoreAnswer<Boolean>> write(
                 String service, Optional<Long> expectedVersion, PromotionClaim claim) {
             throw new AssertionError("unexpected write");
         }
@@ -64,6 +68,7 @@
                         ExchangeFixture.settings("i1", "a"),
                         mFixture.peers(),
                         new ClaimedStore(),
+                        new StoreEpochTracker(),
                         mFixture::nowNanos,
                         mGuard,
                         new Random(SEED));
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ServerListTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ServerListTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
 import org.testng.annotations.Test;
@@ -18,7 +19,7 @@
     private static FeedPage<CatalogServer> page(String... ids) {
         List<FeedEntry<CatalogServer>> entries =
                 List.of(ids).stream().map(id -> entry(id)).toList();
-        return new FeedPage<>(10, entries);
+        return new FeedPage<>(StoreRevision.withoutEpoch(10), entries);
     }
 
     private static FeedEntry<CatalogServer> entry(String id) {
@@ -32,7 +33,10 @@
         ServerList list = new ServerList();
         list.onSnapshot(page("p", "r"), 0, 0);
         FeedEntry<CatalogServer> removed = new FeedEntry<>("r", 11, Optional.empty());
-        assertTrue(list.onChanges(new FeedPage<>(11, List.of(removed)), SECOND_NANOS));
+        assertTrue(
+                list.onChanges(
+                        new FeedPage<>(StoreRevision.withoutEpoch(11), List.of(removed)),
+                        SECOND_NANOS));
         assertTrue(list.catalog().server("r").isEmpty());
     }
 
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/StoreLeaseTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/StoreLeaseTest.java
@@ -12,11 +12,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.GroupFence;
 import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.engine.promotion.QuorumLease;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.PromotionClaim;
+import org.plantainferry.gateway.spi.StoreAnswer;
 import org.plantainferry.gateway.spi.StoredClaim;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -34,22 +37,22 @@
     /** Answers a read when the test completes the pending future. */
     private static final class FakeStore implements ClaimStore {
         private int mReads;
-        private CompletableFuture<Map<String, PromotionClaim>> mPendingRead;
+        private CompletableFuture<StoreAnswer<Map<String, PromotionClaim>>> mPendingRead;
 
         @Override
-        public CompletableFuture<Map<String, PromotionClaim>> readAll() {
+        public CompletableFuture<StoreAnswer<Map<String, PromotionClaim>>> readAll() {
             mReads++;
             mPendingRead = new CompletableFuture<>();
             return mPendingRead;
         }
 
         @Override
-        public CompletableFuture<Optional<StoredClaim>> read(String service) {
+        public CompletableFuture<StoreAnswer<Optional<StoredClaim>>> read(String service) {
             throw new AssertionError("unexpected read of a single claim");
         }
 
         @Override
-        public CompletableFuture<Boolean> write(
+        public CompletableFuture<StoreAnswer<Boolean>> write(
                 String service, Optional<Long> expectedVersion, PromotionClaim claim) {
             throw new AssertionError("unexpected write");
         }
@@ -67,7 +70,14 @@
         mClaimStore.mReads = 0;
         mNowNanos = 1_000 * MILLI_NANOS;
         mFences = new HashMap<>();
-        mLease = new StoreLease(mLoop, mClaimStore, () -> mNowNanos, mFences::put, () -> {});
+        mLease =
+                new StoreLease(
+                        mLoop,
+                        mClaimStore,
+                        new StoreEpochTracker(),
+                        () -> mNowNanos,
+                        mFences::put,
+                        () -> {});
     }
 
     @AfterMethod
@@ -76,7 +86,11 @@
     }
 
     private void answer(Map<String, PromotionClaim> claims) throws Exception {
-        mClaimStore.mPendingRead.complete(claims);
+        answer(StoreEpoch.UNKNOWN, claims);
+    }
+
+    private void answer(StoreEpoch epoch, Map<String, PromotionClaim> claims) throws Exception {
+        mClaimStore.mPendingRead.complete(new StoreAnswer<>(epoch, claims));
         // The lease applies the answer on its event loop; this task runs after that.
         mLoop.submit(() -> {}).get();
     }
@@ -129,6 +143,22 @@
         assertFalse(mLease.hasReadClaims());
     }
 
+    /** Guards against a lease from an answer of before the store lost claims. */
+    @Test
+    public void isNotHeldAfterAnAnswerOfAnEpochThatHasEnded() throws Exception {
+        mLease.onRegistered();
+        answer(new StoreEpoch(2), Map.of());
+        assertTrue(isHeld());
+        mNowNanos += 2 * QuorumLease.LEASE_NANOS;
+        mLease.read();
+        answer(new StoreEpoch(1), Map.of());
+        assertFalse(isHeld());
+        mNowNanos += QuorumLease.LEASE_NANOS;
+        mLease.read();
+        answer(StoreEpoch.UNKNOWN, Map.of());
+        assertFalse(isHeld());
+    }
+
     @Test
     public void keepsTheLeaseWithFewStoreReads() throws Exception {
         mLease.onRegistered();
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/feed/FeedContentsTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/feed/FeedContentsTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
 import org.testng.annotations.BeforeMethod;
@@ -30,7 +31,7 @@
 
     @SafeVarargs
     private static FeedPage<String> page(long revision, FeedEntry<String>... entries) {
-        return new FeedPage<>(revision, List.of(entries));
+        return new FeedPage<>(StoreRevision.withoutEpoch(revision), List.of(entries));
     }
 
     @Test
--- a/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnection.java
+++ b/plantainferry-network/src/main/java/org/plantainferry/network/http/HttpConnection.java
@@ -140,7 +140,7 @@
         HttpResponse response =
                 new HttpResponse(
                         nettyResponse.status().code(),
-                        Optional.ofNullable(nettyResponse.headers().get(HttpHeaderNames.ETAG)),
+                        nettyResponse.headers(),
                         nettyResponse.content().toString(StandardCharsets.UTF_8));
         if (!mUsable) {
             mChannel.close();
