Apply what a restored store says although its revisions went back

Cause: pages whose revision was below the known one were dropped as old, and the watch went on past their changes. A store that comes back from a copy gives revisions out again.

Change: a state of the store is an epoch and a number; a later epoch is newer. A watch answered in another epoch is followed by a full read, and the first answer of a new epoch makes all feeds be read again. Subscriptions and updates between instances carry the epoch; an instance whose build reports none is not followed. PrimaryResolver orders promotions by epoch first.

Why it works: within one epoch numbers order all states, and each epoch begins with a full read.

Failed before: RestoredStoreTest.appliesAConfigurationThatIsWrittenAfterTheRestoration on, 'the new key is accepted expected [true] but found [false]'.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/PrimaryResolver.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/PrimaryResolver.java
@@ -1,11 +1,13 @@
 package org.plantainferry.engine.catalog;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.plantainferry.engine.freshness.StoreRevision;
 
 /**
  * Resolves which server of each group is its primary.
@@ -20,14 +22,14 @@
  * @since 0.2
  */
 public final class PrimaryResolver {
-    private record Claim(String server, long revision, boolean promoted) {}
+    private record Claim(String server, StoreRevision revision, boolean promoted) {}
 
     private final Map<String, Map<String, Claim>> mClaimsByService = new HashMap<>();
     private final Map<String, String> mLastResolved = new HashMap<>();
     private final Set<String> mKnownReplicas = new HashSet<>();
 
     /** Records the entry of a server, with the revision of its last change. */
-    public void onServerEntry(CatalogServer server, long revision) {
+    public void onServerEntry(CatalogServer server, StoreRevision revision) {
         Map<String, Claim> claims =
                 mClaimsByService.computeIfAbsent(server.service(), key -> new HashMap<>());
         if (!server.primary()) {
@@ -48,9 +50,13 @@
     public void onPrimaryFound(CatalogServer server) {
         Map<String, Claim> claims =
                 mClaimsByService.computeIfAbsent(server.service(), key -> new HashMap<>());
-        long newest =
-                claims.values().stream().mapToLong(Claim::revision).max().orElse(Long.MIN_VALUE);
-        claims.putIfAbsent(server.id(), new Claim(server.id(), newest + 1, true));
+        StoreRevision newest =
+                claims.values().stream()
+                        .map(Claim::revision)
+                        .max(Comparator.naturalOrder())
+                        .orElse(StoreRevision.NONE);
+        StoreRevision next = new StoreRevision(newest.epoch(), newest.number() + 1);
+        claims.putIfAbsent(server.id(), new Claim(server.id(), next, true));
     }
 
     /** Records that the entry of a server was removed. */
@@ -98,9 +104,7 @@
 
     private Optional<String> choose(String service, Collection<Claim> claims) {
         Optional<Claim> promoted =
-                claims.stream()
-                        .filter(Claim::promoted)
-                        .max((left, right) -> Long.compare(left.revision, right.revision));
+                claims.stream().filter(Claim::promoted).max(Comparator.comparing(Claim::revision));
         if (promoted.isPresent()) {
             return promoted.map(Claim::server);
         }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/StoreEpoch.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/StoreEpoch.java
@@ -37,11 +37,15 @@
         return text.map(String::trim).map(StoreEpoch::parseNumber).orElse(UNKNOWN);
     }
 
+    /** Returns the epoch with a number; unknown if the number is not in the permitted range. */
+    public static StoreEpoch of(long number) {
+        boolean isPermitted = number > 0 && number <= MAX_NUMBER;
+        return isPermitted ? new StoreEpoch(number) : UNKNOWN;
+    }
+
     private static StoreEpoch parseNumber(String text) {
         try {
-            long number = Long.parseLong(text);
-            boolean isPermitted = number > 0 && number <= MAX_NUMBER;
-            return isPermitted ? new StoreEpoch(number) : UNKNOWN;
+            return of(Long.parseLong(text));
         } catch (NumberFormatException e) {
             // Another writer may stand between the store and this instance.
             return UNKNOWN;
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/catalog/PrimaryResolverTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/catalog/PrimaryResolverTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.testng.annotations.Test;
 
 /** Guards against writes to a former primary whose entry still claims the role. */
@@ -15,9 +16,9 @@
     @Test
     public void returnsMostRecentlyPromotedServer() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("old", true, false), 10);
-        resolver.onServerEntry(server("new", false, false), 11);
-        resolver.onServerEntry(server("new", true, false), 20);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(10));
+        resolver.onServerEntry(server("new", false, false), StoreRevision.withoutEpoch(11));
+        resolver.onServerEntry(server("new", true, false), StoreRevision.withoutEpoch(20));
         assertEquals(resolver.primaries(), Map.of("s", "new"));
     }
 
@@ -25,52 +26,52 @@
     @Test
     public void keepsFoundPrimaryUntilAnotherServerIsPromoted() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("old", true, false), 10);
-        resolver.onServerEntry(server("new", false, false), 11);
-        resolver.onServerEntry(server("later", false, false), 12);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(10));
+        resolver.onServerEntry(server("new", false, false), StoreRevision.withoutEpoch(11));
+        resolver.onServerEntry(server("later", false, false), StoreRevision.withoutEpoch(12));
         resolver.onPrimaryFound(server("new", false, false));
         assertEquals(resolver.primaries(), Map.of("s", "new"));
-        resolver.onServerEntry(server("new", true, false), 20);
+        resolver.onServerEntry(server("new", true, false), StoreRevision.withoutEpoch(20));
         assertEquals(resolver.primaries(), Map.of("s", "new"));
-        resolver.onServerEntry(server("later", true, false), 30);
+        resolver.onServerEntry(server("later", true, false), StoreRevision.withoutEpoch(30));
         assertEquals(resolver.primaries(), Map.of("s", "later"));
     }
 
     @Test
     public void laterChangeOfEntryIsNotNewClaim() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("old", true, false), 10);
-        resolver.onServerEntry(server("new", false, false), 11);
-        resolver.onServerEntry(server("new", true, false), 20);
-        resolver.onServerEntry(server("old", true, true), 30);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(10));
+        resolver.onServerEntry(server("new", false, false), StoreRevision.withoutEpoch(11));
+        resolver.onServerEntry(server("new", true, false), StoreRevision.withoutEpoch(20));
+        resolver.onServerEntry(server("old", true, true), StoreRevision.withoutEpoch(30));
         assertEquals(resolver.primaries(), Map.of("s", "new"));
     }
 
     @Test
     public void keepsPrimaryWhenPartitionedFormerPrimaryReturns() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("old", true, false), 10);
-        resolver.onServerEntry(server("new", false, false), 11);
-        resolver.onServerEntry(server("new", true, false), 20);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(10));
+        resolver.onServerEntry(server("new", false, false), StoreRevision.withoutEpoch(11));
+        resolver.onServerEntry(server("new", true, false), StoreRevision.withoutEpoch(20));
         resolver.onServerRemoved(server("old", true, false));
-        resolver.onServerEntry(server("old", true, false), 30);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(30));
         assertEquals(resolver.primaries(), Map.of("s", "new"));
     }
 
     @Test
     public void keepsPrimaryThatWasKnownFirst() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("known", true, false), 10);
+        resolver.onServerEntry(server("known", true, false), StoreRevision.withoutEpoch(10));
         resolver.primaries();
-        resolver.onServerEntry(server("other", true, false), 30);
+        resolver.onServerEntry(server("other", true, false), StoreRevision.withoutEpoch(30));
         assertEquals(resolver.primaries(), Map.of("s", "known"));
     }
 
     @Test
     public void contestedRoleHasNoPrimaryUntilResolved() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("one", true, false), 10);
-        resolver.onServerEntry(server("other", true, false), 30);
+        resolver.onServerEntry(server("one", true, false), StoreRevision.withoutEpoch(10));
+        resolver.onServerEntry(server("other", true, false), StoreRevision.withoutEpoch(30));
         assertEquals(resolver.primaries(), Map.of());
         assertEquals(resolver.contestedRoles(), Map.of("s", Set.of("one", "other")));
         resolver.resolve("s", "one");
@@ -81,7 +82,7 @@
     @Test
     public void hasNoPrimaryAfterEntryIsRemoved() {
         PrimaryResolver resolver = new PrimaryResolver();
-        resolver.onServerEntry(server("old", true, false), 10);
+        resolver.onServerEntry(server("old", true, false), StoreRevision.withoutEpoch(10));
         resolver.onServerRemoved(server("old", true, false));
         assertEquals(resolver.primaries(), Map.of());
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -235,7 +235,8 @@
         String source = question.source();
         long now = mClock.getAsLong();
         long ageNanos = AgeCodec.decodeNanos(answer.getAgeMillis());
-        if (ageNanos >= mStaleNanos) {
+        boolean isComparable = mFollowing.reportsEpochs(answer.getRevisionsList());
+        if (ageNanos >= mStaleNanos || !isComparable) {
             mSources.exclude(source, now);
         } else if (mFollowsInstances) {
             Optional.ofNullable(mOtherInstances.get(source))
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -307,7 +307,7 @@
     }
 
     private void scheduleExpiry() {
-        if (!mServers.hasPendingRemovals() || mExpiryScheduled) {
+        if (!mServers.hasGracePeriod() || mExpiryScheduled) {
             return;
         }
         mExpiryScheduled = true;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
@@ -1,80 +1,153 @@
 package org.plantainferry.gateway.feed;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
 
 /**
  * Holds the objects of one feed and the revisions up to which they are known.
  *
- * <p>An object without a usable value counts as missing. Not thread-safe.
+ * <p>An object without a usable value counts as missing. Objects that a restored store has lost may
+ * be kept, see {@link RestorePolicy}. Not thread-safe.
  */
 final class FeedContents<T> {
-    private final Map<String, FeedEntry<T>> mEntries = new HashMap<>();
-    private long mKnownRevision;
-    private long mLastChangeRevision;
+    private final RestorePolicy<T> mPolicy;
+    private final Map<String, FeedEntry<T>> mStored = new HashMap<>();
+    // Take the place of stored objects of the same name.
+    private final Map<String, FeedEntry<T>> mKept = new HashMap<>();
+    private StoreRevision mKnownRevision = StoreRevision.NONE;
+    private StoreRevision mLastChangeRevision = StoreRevision.NONE;
 
-    /** Returns the revision of the store up to which all changes are known; 0 before any read. */
-    long knownRevision() {
+    FeedContents(RestorePolicy<T> policy) {
+        mPolicy = policy;
+    }
+
+    /** Returns the revision of the store up to which all changes are known. */
+    StoreRevision knownRevision() {
         return mKnownRevision;
     }
 
-    /** Returns the revision of the newest known change; 0 if there was none. */
-    long lastChangeRevision() {
+    /** Returns the revision of the newest known change. */
+    StoreRevision lastChangeRevision() {
         return mLastChangeRevision;
     }
 
     /** Returns all objects. */
     List<FeedEntry<T>> entries() {
-        return List.copyOf(mEntries.values());
+        return List.copyOf(effective().values());
+    }
+
+    private Map<String, FeedEntry<T>> effective() {
+        Map<String, FeedEntry<T>> entries = new HashMap<>(mStored);
+        entries.putAll(mKept);
+        return entries;
+    }
+
+    /** Returns the objects that are kept although the store lacks them or holds an older form. */
+    List<FeedEntry<T>> kept() {
+        return List.copyOf(mKept.values());
     }
 
     /** Returns whether a page is older than what is known, so that it must not be applied. */
     boolean isOutdated(FeedPage<T> page) {
-        return page.revision().number() < mKnownRevision;
+        return resolved(page).compareTo(mKnownRevision) < 0;
+    }
+
+    private StoreRevision resolved(FeedPage<T> page) {
+        return page.revision().orIn(mKnownRevision.epoch());
     }
 
-    /** Replaces all objects; returns whether any of them was added, changed or removed. */
+    /**
+     * Replaces all objects; returns whether any of them was added, changed or removed.
+     *
+     * <p>Revisions of another epoch say nothing about changes, so there all objects count as
+     * changed.
+     */
     boolean replaceAll(FeedPage<T> page) {
-        Map<String, FeedEntry<T>> before = Map.copyOf(mEntries);
-        mEntries.clear();
-        long newest = 0;
-        boolean changed = false;
-        for (FeedEntry<T> entry : page.entries()) {
-            newest = Math.max(newest, entry.revision());
-            changed |= isChanged(before.get(entry.name()), entry);
-            put(entry);
+        Map<String, FeedEntry<T>> before = effective();
+        Set<String> keptBefore = Set.copyOf(mKept.keySet());
+        StoreRevision revision = resolved(page);
+        boolean isRestored = mKnownRevision.epoch().differsFrom(revision.epoch());
+        mStored.clear();
+        mKept.clear();
+        page.entries().forEach(this::putStored);
+        before.forEach((name, known) -> keep(known, isRestored || keptBefore.contains(name)));
+        mKnownRevision = revision;
+        Map<String, FeedEntry<T>> after = effective();
+        boolean isAnyRemoved = !after.keySet().containsAll(before.keySet());
+        boolean isAnyChanged = after.values().stream().anyMatch(entry -> isChanged(before, entry));
+        if (isRestored || isAnyRemoved) {
+            mLastChangeRevision = revision;
+        } else {
+            advanceLastChange(page);
         }
-        boolean isAnyRemoved = !mEntries.keySet().containsAll(before.keySet());
-        mKnownRevision = page.revision().number();
-        mLastChangeRevision =
-                isAnyRemoved ? page.revision().number() : Math.max(mLastChangeRevision, newest);
-        return changed || isAnyRemoved;
+        return isRestored || isAnyRemoved || isAnyChanged;
+    }
+
+    private static <T> boolean isChanged(Map<String, FeedEntry<T>> before, FeedEntry<T> after) {
+        FeedEntry<T> known = before.get(after.name());
+        return known == null || known.revision() != after.revision();
     }
 
-    private static <T> boolean isChanged(FeedEntry<T> before, FeedEntry<T> after) {
-        boolean isKnown = before != null;
-        return after.value().isPresent()
-                ? !isKnown || before.revision() != after.revision()
-                : isKnown;
+    private void advanceLastChange(FeedPage<T> page) {
+        long newest = page.entries().stream().mapToLong(FeedEntry::revision).max().orElse(0);
+        StoreRevision change = new StoreRevision(mKnownRevision.epoch(), newest);
+        if (change.compareTo(mLastChangeRevision) > 0) {
+            mLastChangeRevision = change;
+        }
     }
 
-    private void put(FeedEntry<T> entry) {
+    private void putStored(FeedEntry<T> entry) {
         if (entry.value().isPresent()) {
-            mEntries.put(entry.name(), entry);
+            mStored.put(entry.name(), entry);
+        } else {
+            mStored.remove(entry.name());
+        }
+    }
+
+    private void keep(FeedEntry<T> known, boolean isLostPossible) {
+        Optional<T> stored =
+                Optional.ofNullable(mStored.get(known.name())).flatMap(FeedEntry::value);
+        if (mPolicy.keeps(known.value().orElseThrow(), stored, isLostPossible)) {
+            mKept.put(known.name(), known);
         } else {
-            mEntries.remove(entry.name());
+            mKept.remove(known.name());
         }
     }
 
     /** Applies changes in their order. */
     void apply(FeedPage<T> page) {
-        page.entries().forEach(this::put);
-        mKnownRevision = page.revision().number();
+        Map<String, FeedEntry<T>> before = effective();
+        page.entries().forEach(this::putStored);
+        Set<String> changed = new HashSet<>();
+        page.entries().forEach(entry -> changed.add(entry.name()));
+        changed.stream()
+                .filter(before::containsKey)
+                .forEach(name -> keep(before.get(name), mKept.containsKey(name)));
+        mKnownRevision = resolved(page);
         if (!page.entries().isEmpty()) {
-            mLastChangeRevision = page.revision().number();
+            mLastChangeRevision = mKnownRevision;
         }
     }
+
+    /** Returns a page of all objects as it is to be used, with the objects that are kept. */
+    FeedPage<T> withKept(FeedPage<T> page) {
+        List<FeedEntry<T>> entries = new ArrayList<>(withoutKept(page).entries());
+        entries.addAll(mKept.values());
+        return new FeedPage<>(mKnownRevision, entries);
+    }
+
+    /** Returns a page of changes as it is to be used, without those of objects that are kept. */
+    FeedPage<T> withoutKept(FeedPage<T> page) {
+        List<FeedEntry<T>> entries =
+                page.entries().stream().filter(entry -> !mKept.containsKey(entry.name())).toList();
+        return new FeedPage<>(mKnownRevision, entries);
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedFollower.java
@@ -1,12 +1,15 @@
 package org.plantainferry.gateway.feed;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.plantainferry.api.ErrorCode;
 import org.plantainferry.api.PlantainferryException;
+import org.plantainferry.engine.freshness.StoreEpoch;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.engine.freshness.WatchCoverage;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.Feed;
@@ -17,7 +20,8 @@
  * Reads the store objects of one kind, and watches them for changes while it is told to.
  *
  * <p>After a failed watch it reads all objects again, because an interrupted watch may have missed
- * changes. Used by the control thread only.
+ * changes. It does the same when the store was restored from a copy, because a watch that began
+ * before lacks the changes up to its revision. Used by the control thread only.
  */
 final class FeedFollower<T> {
     private static final long MIN_RETRY_MILLIS = 100;
@@ -31,6 +35,7 @@
     private final long mWatchMillis;
     private final long mBatchMillis;
     private final LongSupplier mClock;
+    private final StoreEpochTracker mEpochs;
     private final FeedListener<T> mListener;
     private long mRetryDelayMillis = MIN_RETRY_MILLIS;
     private long mStoreLostSinceNanos;
@@ -40,6 +45,8 @@
     private boolean mWatching;
     // Increases with each full read; answers that belong to an earlier generation are ignored.
     private long mReadGeneration;
+    // The epoch of the objects from which the watch goes on.
+    private StoreEpoch mWatchedEpoch = StoreEpoch.UNKNOWN;
     private long mLastRereadNanos;
 
     /**
@@ -56,6 +63,7 @@
             long watchMillis,
             long batchMillis,
             LongSupplier clock,
+            StoreEpochTracker epochs,
             FeedListener<T> listener) {
         mLoop = loop;
         mFeedName = feedName;
@@ -63,6 +71,7 @@
         mWatchMillis = watchMillis;
         mBatchMillis = batchMillis;
         mClock = clock;
+        mEpochs = epochs;
         mListener = listener;
         mLastRereadNanos = clock.getAsLong() - MIN_REREAD_INTERVAL_NANOS;
     }
@@ -75,19 +84,29 @@
     /**
      * Watches for all changes after a revision; does nothing while it watches already.
      *
-     * @param revision the revision up to which all changes are known; 0 to read all objects first
+     * @param revision the revision up to which all changes are known; all objects are read first if
+     *     it is none, or of an epoch that has ended
      */
-    void watchFrom(long revision) {
+    void watchFrom(StoreRevision revision) {
         if (mWatching) {
             return;
         }
         mWatching = true;
-        if (revision == 0) {
+        boolean isOfEndedEpoch = mEpochs.newest().differsFrom(revision.epoch());
+        if (revision.number() == 0 || isOfEndedEpoch) {
             readAll();
             return;
         }
         mReadGeneration++;
-        watch(revision);
+        mWatchedEpoch = revision.epoch();
+        watch(revision.number());
+    }
+
+    /** Reads all objects again if it watches for changes of an epoch that has ended. */
+    void onRestored(StoreEpoch epoch) {
+        if (mWatching && !mWatchedEpoch.equals(epoch)) {
+            readAll();
+        }
     }
 
     /** Stops watching and repeating reads. */
@@ -139,8 +158,9 @@
     private void onConcurrentRead(
             FeedPage<T> page, Throwable failure, long sentNanos, Runnable successListener) {
         mConcurrentReadRunning = false;
-        if (failure != null) {
-            recordStoreLoss(failure, sentNanos);
+        Optional<Throwable> cause = failureOf(page, failure);
+        if (cause.isPresent()) {
+            recordStoreLoss(cause.get(), sentNanos);
             return;
         }
         onSuccess(mStoreLost ? mClock.getAsLong() - mStoreLostSinceNanos : 0);
@@ -166,8 +186,12 @@
         if (generation != mReadGeneration) {
             return;
         }
-        if (failure != null) {
-            onReadFailure(failure, sentNanos);
+        if (failure == null) {
+            mWatchedEpoch = page.revision().epoch();
+        }
+        Optional<Throwable> cause = failureOf(page, failure);
+        if (cause.isPresent()) {
+            onReadFailure(cause.get(), sentNanos);
             return;
         }
         long outageNanos = mStoreLost ? mClock.getAsLong() - mStoreLostSinceNanos : 0;
@@ -178,6 +202,24 @@
         }
     }
 
+    /**
+     * Returns why a page cannot be used; empty if it can.
+     *
+     * <p>A page without an epoch is used as before a restoration: its revision decides.
+     */
+    private Optional<Throwable> failureOf(FeedPage<T> page, Throwable failure) {
+        if (failure != null) {
+            return Optional.of(failure);
+        }
+        StoreEpochTracker.Verdict verdict = mEpochs.observe(page.revision().epoch());
+        return verdict == StoreEpochTracker.Verdict.OUTDATED
+                ? Optional.of(
+                        new PlantainferryException(
+                                ErrorCode.STORE_UNAVAILABLE,
+                                "the answer is of an epoch that has ended"))
+                : Optional.empty();
+    }
+
     private void watch(long revision) {
         long generation = mReadGeneration;
         // Random watch durations keep instances that started together from calling in step.
@@ -209,6 +251,14 @@
             onWatchFailure(failure, sentNanos);
             return;
         }
+        StoreEpoch epoch = page.revision().epoch();
+        mEpochs.observe(epoch);
+        if (epoch.differsFrom(mWatchedEpoch)) {
+            if (generation == mReadGeneration) {
+                readAll();
+            }
+            return;
+        }
         long coveredNanos =
                 WatchCoverage.coveredNanos(
                         sentNanos,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedPublisher.java
@@ -6,11 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerProtocol;
 import org.plantainferry.gateway.peer.generated.FeedAcceptance;
 import org.plantainferry.gateway.peer.generated.FeedMessage;
-import org.plantainferry.gateway.peer.generated.FeedRevision;
 import org.plantainferry.gateway.peer.generated.FeedSubscription;
 import org.plantainferry.gateway.peer.generated.FeedUpdate;
 
@@ -61,12 +61,12 @@
         mSubscribers.add(channel);
     }
 
-    private static long revisionOf(FeedSubscription subscription, SharedFeed<?> feed) {
+    private static StoreRevision revisionOf(FeedSubscription subscription, SharedFeed<?> feed) {
         return subscription.getRevisionsList().stream()
                 .filter(revision -> revision.getFeed() == feed.name())
-                .mapToLong(FeedRevision::getRevision)
+                .map(StoreFollowing::decode)
                 .findFirst()
-                .orElse(0);
+                .orElse(StoreRevision.NONE);
     }
 
     /** Receives the subscription at the start of a connection. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -11,6 +11,8 @@
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
+import org.plantainferry.engine.freshness.StoreEpoch;
+import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerProtocol;
 import org.plantainferry.gateway.peer.generated.FeedName;
@@ -67,13 +69,22 @@
         mLocalAddress = localAddress;
         mClock = clock;
         mLostSourceListener = lostSourceListener;
+        mEpochs.addListener(this::onRestored);
+    }
+
+    private void onRestored(StoreEpoch epoch) {
+        mFollowers.values().forEach(follower -> follower.onRestored(epoch));
     }
 
     /** Adds the feed of the configuration. */
     public void addConfiguration(
             Feed<RoutingConfiguration> feed, FeedListener<RoutingConfiguration> listener) {
         SharedFeed<RoutingConfiguration> shared =
-                shared(FeedName.FEED_NAME_CONFIGURATION, new ConfigurationCodec(), listener);
+                shared(
+                        FeedName.FEED_NAME_CONFIGURATION,
+                        new ConfigurationCodec(),
+                        RestorePolicy.keepHighestVersion(),
+                        listener);
         mConfigurationFollower =
                 follower("configuration", feed, CONFIGURATION_WATCH_MILLIS, 0, shared);
         add(shared, mConfigurationFollower);
@@ -82,14 +93,22 @@
     /** Adds the feed of the servers. */
     public void addServers(Feed<CatalogServer> feed, FeedListener<CatalogServer> listener) {
         SharedFeed<CatalogServer> shared =
-                shared(FeedName.FEED_NAME_SERVERS, new ServerCodec(), listener);
+                shared(
+                        FeedName.FEED_NAME_SERVERS,
+                        new ServerCodec(),
+                        RestorePolicy.keepNothing(),
+                        listener);
         add(shared, follower("servers", feed, SERVERS_WATCH_MILLIS, SERVERS_BATCH_MILLIS, shared));
     }
 
     /** Adds the feed of the instances. */
     public void addInstances(Feed<InstanceEntry> feed, FeedListener<InstanceEntry> listener) {
         SharedFeed<InstanceEntry> shared =
-                shared(FeedName.FEED_NAME_INSTANCES, new InstanceCodec(), listener);
+                shared(
+                        FeedName.FEED_NAME_INSTANCES,
+                        new InstanceCodec(),
+                        RestorePolicy.keepNothing(),
+                        listener);
         mInstancesFollower =
                 follower("instances", feed, INSTANCES_WATCH_MILLIS, INSTANCES_BATCH_MILLIS, shared);
         add(shared, mInstancesFollower);
@@ -98,12 +117,17 @@
     /** Adds the feed of the evacuated failure domains. */
     public void addEvacuations(Feed<String> feed, FeedListener<String> listener) {
         SharedFeed<String> shared =
-                shared(FeedName.FEED_NAME_EVACUATIONS, new NameCodec(), listener);
+                shared(
+                        FeedName.FEED_NAME_EVACUATIONS,
+                        new NameCodec(),
+                        RestorePolicy.keepNothing(),
+                        listener);
         add(shared, follower("evacuations", feed, EVACUATIONS_WATCH_MILLIS, 0, shared));
     }
 
-    private <T> SharedFeed<T> shared(FeedName name, FeedCodec<T> codec, FeedListener<T> listener) {
-        return new SharedFeed<>(name, codec, mClock, listener, mPublisher::publish);
+    private <T> SharedFeed<T> shared(
+            FeedName name, FeedCodec<T> codec, RestorePolicy<T> policy, FeedListener<T> listener) {
+        return new SharedFeed<>(name, codec, policy, mClock, listener, mPublisher::publish);
     }
 
     private <T> FeedFollower<T> follower(
@@ -112,7 +136,8 @@
             long watchMillis,
             long batchMillis,
             FeedListener<T> listener) {
-        return new FeedFollower<>(mLoop, name, feed, watchMillis, batchMillis, mClock, listener);
+        return new FeedFollower<>(
+                mLoop, name, feed, watchMillis, batchMillis, mClock, mEpochs, listener);
     }
 
     private void add(SharedFeed<?> feed, FeedFollower<?> follower) {
@@ -221,8 +246,16 @@
         return subscription.build();
     }
 
-    private static FeedRevision revision(SharedFeed<?> feed, long revision) {
-        return FeedRevision.newBuilder().setFeed(feed.name()).setRevision(revision).build();
+    private static FeedRevision revision(SharedFeed<?> feed, StoreRevision revision) {
+        return FeedRevision.newBuilder()
+                .setFeed(feed.name())
+                .setRevision(revision.number())
+                .setEpoch(revision.epoch().number())
+                .build();
+    }
+
+    static StoreRevision decode(FeedRevision revision) {
+        return new StoreRevision(StoreEpoch.of(revision.getEpoch()), revision.getRevision());
     }
 
     /** Returns the newest known change of each feed. */
@@ -237,10 +270,30 @@
 
     private boolean isMissing(FeedRevision change) {
         return feed(change.getFeed())
-                .filter(feed -> feed.knownRevision() < change.getRevision())
+                .filter(feed -> isBefore(feed.knownRevision(), decode(change)))
                 .isPresent();
     }
 
+    private static boolean isBefore(StoreRevision known, StoreRevision change) {
+        return known.compareTo(change.orIn(known.epoch())) < 0;
+    }
+
+    /**
+     * Returns whether another instance reports epochs where this one knows them.
+     *
+     * <p>One that does not is of a build that goes on with what it knew before the store was
+     * restored from a copy, so it must not be followed.
+     */
+    public boolean reportsEpochs(List<FeedRevision> lastChanges) {
+        return !mEpochs.newest().isKnown()
+                || lastChanges.stream().noneMatch(StoreFollowing::isWithoutEpoch);
+    }
+
+    private static boolean isWithoutEpoch(FeedRevision change) {
+        StoreRevision revision = decode(change);
+        return revision.number() > 0 && !revision.epoch().isKnown();
+    }
+
     private Optional<SharedFeed<?>> feed(FeedName name) {
         return mFeeds.stream().filter(feed -> feed.name() == name).findFirst();
     }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/feed/FeedContentsTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/feed/FeedContentsTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.freshness.StoreRevision;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
@@ -18,7 +19,7 @@
 
     @BeforeMethod
     public void create() {
-        mContents = new FeedContents<>();
+        mContents = new FeedContents<>(RestorePolicy.keepNothing());
     }
 
     private static FeedEntry<String> present(String name, long revision) {
@@ -47,15 +48,70 @@
     public void countsARemovalBetweenTwoReadsAsAChange() {
         mContents.replaceAll(page(10, present("s1", 4), present("s2", 6)));
         assertTrue(mContents.replaceAll(page(20, present("s1", 4))));
-        assertEquals(mContents.lastChangeRevision(), 20);
+        assertEquals(mContents.lastChangeRevision(), StoreRevision.withoutEpoch(20));
     }
 
     @Test
     public void countsARereadOfTheSameObjectsAsNoChange() {
         mContents.replaceAll(page(10, present("s1", 4)));
         assertFalse(mContents.replaceAll(page(30, present("s1", 4))));
-        assertEquals(mContents.lastChangeRevision(), 4);
-        assertEquals(mContents.knownRevision(), 30);
+        assertEquals(mContents.lastChangeRevision(), StoreRevision.withoutEpoch(4));
+        assertEquals(mContents.knownRevision(), StoreRevision.withoutEpoch(30));
+    }
+
+    @SafeVarargs
+    private static FeedPage<String> page(long epoch, long revision, FeedEntry<String>... entries) {
+        return new FeedPage<>(new StoreRevision(StoreEpoch.of(epoch), revision), List.of(entries));
+    }
+
+    /** Guards against changes that are never applied because the revisions went back. */
+    @Test
+    public void appliesPagesOfALaterEpochAlthoughTheirRevisionsAreLower() {
+        mContents.replaceAll(page(1, 120, present("s1", 110)));
+        FeedPage<String> restored = page(2, 100, present("s1", 90));
+        assertFalse(mContents.isOutdated(restored));
+        assertTrue(mContents.replaceAll(restored));
+        assertFalse(mContents.isOutdated(page(2, 101, present("s2", 101))));
+        mContents.apply(page(2, 101, present("s2", 101)));
+        assertEquals(mContents.entries().size(), 2);
+        assertEquals(mContents.lastChangeRevision().number(), 101);
+    }
+
+    @Test
+    public void treatsAPageOfAnEpochThatHasEndedAsOutdatedAlthoughItsRevisionIsHigher() {
+        mContents.replaceAll(page(2, 100, present("s1", 90)));
+        assertTrue(mContents.isOutdated(page(1, 120, present("s1", 110))));
+    }
+
+    @Test
+    public void countsEqualRevisionsOfAnotherEpochAsChanges() {
+        mContents.replaceAll(page(1, 100, present("s1", 90)));
+        assertTrue(mContents.replaceAll(page(2, 100, present("s1", 90))));
+    }
+
+    @Test
+    public void comparesAPageWithoutAnEpochWithinTheKnownEpoch() {
+        mContents.replaceAll(page(2, 100, present("s1", 90)));
+        assertTrue(mContents.isOutdated(page(99, present("s1", 90))));
+        mContents.apply(page(101, present("s2", 101)));
+        assertEquals(mContents.knownRevision(), new StoreRevision(new StoreEpoch(2), 101));
+    }
+
+    @Test
+    public void keepsWhatARestoredStoreHasLostUntilItIsWrittenAgain() {
+        FeedContents<String> contents = new FeedContents<>(RestorePolicy.keepLost());
+        contents.replaceAll(page(1, 120, present("s1", 4), present("s2", 110)));
+        contents.replaceAll(page(2, 100, present("s1", 4)));
+        assertEquals(contents.kept(), List.of(present("s2", 110)));
+        assertEquals(contents.entries().size(), 2);
+        // Lost by a second restoration from the same copy, and read twice.
+        contents.replaceAll(page(3, 100, present("s1", 4)));
+        contents.replaceAll(page(3, 101, present("s1", 4)));
+        assertEquals(contents.entries().size(), 2);
+        contents.apply(page(3, 102, present("s2", 102)));
+        assertEquals(contents.kept(), List.of());
+        contents.apply(page(3, 103, removed("s2", 103)));
+        assertEquals(contents.entries(), List.of(present("s1", 4)));
     }
 
     @Test
