Count no majority from a list that a restored store has lost entries of

Cause: a store that comes back from a copy lost the entries of running instances. Nobody wrote them again, and an instance that started later took itself for the only one: a list of one is a majority.

Change: known entries that the store lost stay in the list and are written again by those who follow the store. An instance that first sees an epoch waits for a settling time before it counts majorities, votes, holds a lease or claims a group; the first ones to have waited record the epoch in their entries, so later starts do not wait. A claim or store lease waits for the same time after a restoration. Orders of earlier replacements are written again, and known instances are told of a replacement although the store does not list them. The list moves from ControlPlane to InstanceList.

Why it works: after the settling time all instances that run and anyone knows are listed, and claims that were lost have ended; who knows nothing waits as long.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -34,13 +35,6 @@
  */
 public final class ControlPlane {
     private static final long EXPIRY_POLL_MILLIS = 200;
-    private static final long REGISTER_RETRY_MILLIS = 1_000;
-    private static final long REGISTRATION_SETTLING_MILLIS = 500;
-    // Without an answer to the second list, the instance becomes ready after this time.
-    private static final long SETTLING_TIMEOUT_MILLIS = 2_000;
-    // Limits are divided among the listed instances. Without the list, a new process would use the
-    // full limits, so it waits this long for the list before it becomes ready.
-    private static final long INSTANCES_TIMEOUT_MILLIS = 800;
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
@@ -48,16 +42,11 @@
     private final LongSupplier mClock;
     private final ViewListener mListener;
     private final ServerList mServers = new ServerList();
-    private final Map<String, InstanceEntry> mInstances = new HashMap<>();
+    private final InstanceList mInstances;
     private RoutingConfiguration mConfiguration = RoutingConfiguration.EMPTY;
     private ServerCatalog mCatalog = ServerCatalog.EMPTY;
     private boolean mCatalogRead;
     private Map<String, String> mOtherInstanceDomains = Map.of();
-    private boolean mInstancesRead;
-    private boolean mRegistering;
-    private boolean mRegistered;
-    private boolean mSettled;
-    private boolean mInstancesTimedOut;
     private boolean mExpiryScheduled;
     private final ConfirmedVersion mConfirmedVersion;
     private final StoreFollowing mFollowing;
@@ -98,6 +87,17 @@
         mFollowing = following;
         mEvacuationsRead = settings.evacuationMillis().isEmpty();
         mListener = listener;
+        mInstances =
+                new InstanceList(
+                        loop,
+                        ownEntry(settings),
+                        platform.instances(),
+                        following,
+                        clock,
+                        // The configuration is confirmed more often than this.
+                        settings.configurationMillis() / 2,
+                        new Random(),
+                        new InstanceListListener());
         mConfirmedVersion = new ConfirmedVersion(clock.getAsLong() - TimeUnit.HOURS.toNanos(1));
         mView =
                 new FleetView(
@@ -115,16 +115,13 @@
                     mFollowing.addConfiguration(
                             mPlatform.configuration(), new ConfigurationListener());
                     mFollowing.addServers(mPlatform.servers(), new ServersListener());
-                    mFollowing.addInstances(mPlatform.instances(), new InstancesListener());
+                    mFollowing.addInstances(mPlatform.instances(), mInstances);
                     if (mSettings.evacuationMillis().isPresent()) {
                         mFollowing.addEvacuations(
                                 mPlatform.evacuations(), new EvacuationsListener());
                     }
                     startFollowing();
-                    mLoop.schedule(
-                            this::onInstancesTimeout,
-                            INSTANCES_TIMEOUT_MILLIS,
-                            TimeUnit.MILLISECONDS);
+                    mInstances.start();
                 });
     }
 
@@ -136,68 +133,11 @@
         }
     }
 
-    private void onInstancesTimeout() {
-        mInstancesTimedOut = true;
-        if (!mInstancesRead) {
-            publish();
-        }
-    }
-
-    private InstanceEntry ownEntry() {
+    private static InstanceEntry ownEntry(GatewaySettings settings) {
         return new InstanceEntry(
-                mSettings.instance(),
-                mSettings.failureDomain(),
-                mSettings.localAddress() + ":" + mSettings.peerPort());
-    }
-
-    /** Registers this instance, unless an equal entry of an earlier process is still present. */
-    private void register() {
-        if (ownEntry().equals(mInstances.get(mSettings.instance()))) {
-            mRegistering = false;
-            onInstancesChanged();
-            return;
-        }
-        mRegistering = true;
-        mPlatform
-                .instances()
-                .register(ownEntry())
-                .whenComplete((ignored, failure) -> mLoop.execute(() -> onRegistered(failure)));
-    }
-
-    private void onRegistered(Throwable failure) {
-        if (failure != null) {
-            mLoop.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        if (!mRegistered) {
-            mRegistered = true;
-            // Instances that start together have not seen each other's entries.
-            mLoop.schedule(
-                    () -> mFollowing.readInstances(this::onSettled),
-                    REGISTRATION_SETTLING_MILLIS,
-                    TimeUnit.MILLISECONDS);
-            mLoop.schedule(this::onSettled, SETTLING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        }
-        mInstances.put(mSettings.instance(), ownEntry());
-        register();
-    }
-
-    /** Becomes ready, because the instances that started together are known to each other. */
-    private void onSettled() {
-        if (!mSettled) {
-            mSettled = true;
-            publish();
-        }
-    }
-
-    /** Publishes the list of instances once it contains this instance. */
-    private void onInstancesChanged() {
-        if (!mInstances.containsKey(mSettings.instance())) {
-            return;
-        }
-        mInstancesRead = true;
-        GatewayEvent.INSTANCES_CHANGED.log(mInstances.size() - 1);
-        publishInstances();
+                settings.instance(),
+                settings.failureDomain(),
+                settings.localAddress() + ":" + settings.peerPort());
     }
 
     /** Returns the latest view. */
@@ -208,7 +148,8 @@
     /**
      * Returns whether the configuration and the servers are known.
      *
-     * <p>The instances must be known as well, unless reading them took too long.
+     * <p>The instances must be known as well, unless reading them took too long. Where majorities
+     * of them guard primaries, the list must be complete.
      */
     public boolean isReady() {
         return mReady;
@@ -218,13 +159,19 @@
         publish(Optional.empty());
     }
 
-    private void publishInstances() {
-        Map<String, InstanceEntry> otherInstances = new HashMap<>(mInstances);
-        otherInstances.remove(mSettings.instance());
-        Map<String, String> domains = new HashMap<>();
-        otherInstances.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
-        mOtherInstanceDomains = Map.copyOf(domains);
-        publish(Optional.of(otherInstances));
+    /** Returns whether this instance follows the store itself. */
+    boolean isFollowingStore() {
+        return mFollowing.isFollowingStore();
+    }
+
+    /** Returns whether majorities of instances may be counted from the published list. */
+    boolean isInstanceListComplete() {
+        return mInstances.isComplete();
+    }
+
+    /** Returns whether all running instances are listed in the newest epoch of the store. */
+    boolean isInstanceListSettled() {
+        return mInstances.isSettled();
     }
 
     private void publish(Optional<Map<String, InstanceEntry>> instances) {
@@ -239,18 +186,13 @@
                 mConfiguration.version() > 0
                         && mCatalogRead
                         && mEvacuationsRead
-                        && isInstanceListReadOrTimedOut();
+                        && mInstances.isReadOrTimedOut()
+                        && (mSettings.platformFencesPrimaries() || isListUsableForPrimaries());
         mListener.onView(mView, instances);
     }
 
-    /**
-     * Returns whether the limits can be divided among the right instances.
-     *
-     * <p>Instances that start together for the first time each see only themselves at first, and
-     * would each give out the whole limit.
-     */
-    private boolean isInstanceListReadOrTimedOut() {
-        return mRegistered ? mSettled : mInstancesRead || mInstancesTimedOut;
+    private boolean isListUsableForPrimaries() {
+        return mInstances.isComplete() || mInstances.isSettled();
     }
 
     /** Updates the confirmation time of the view without a call to the listener. */
@@ -379,37 +321,19 @@
         }
     }
 
-    /** Applies changes of the instances. */
-    private final class InstancesListener implements FeedListener<InstanceEntry> {
+    /** Publishes changes of the list of instances. */
+    private final class InstanceListListener implements InstanceList.Listener {
         @Override
-        public void onSnapshot(
-                FeedPage<InstanceEntry> page, OptionalLong coveredNanos, long outageNanos) {
-            mInstances.clear();
-            boolean isFromStore = coveredNanos.isPresent();
-            if (mRegistered && !isFromStore) {
-                // Another instance may not have seen the entry yet.
-                mInstances.put(mSettings.instance(), ownEntry());
-            }
-            apply(page);
+        public void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
+            Map<String, String> domains = new HashMap<>();
+            otherInstances.forEach((name, entry) -> domains.put(name, entry.failureDomain()));
+            mOtherInstanceDomains = Map.copyOf(domains);
+            publish(Optional.of(otherInstances));
         }
 
         @Override
-        public void onChanges(FeedPage<InstanceEntry> page, OptionalLong coveredNanos) {
-            if (!page.entries().isEmpty()) {
-                apply(page);
-            }
-        }
-
-        private void apply(FeedPage<InstanceEntry> page) {
-            for (FeedEntry<InstanceEntry> entry : page.entries()) {
-                entry.value()
-                        .ifPresentOrElse(
-                                value -> mInstances.put(entry.name(), value),
-                                () -> mInstances.remove(entry.name()));
-            }
-            if (!mRegistering) {
-                register();
-            }
+        public void onReadinessChanged() {
+            publish();
         }
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FenceExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FenceExchange.java
@@ -106,7 +106,9 @@
      * Makes all instances stop using primaries of a group.
      *
      * @param token the fencing token of the claim
-     * @param receivers the other instances, read from the store after the claim was written: an
+     *     <p>Those that this instance knows are told as well, because the store may have lost their
+     *     entries.
+     * @param listed the other instances, read from the store after the claim was written: an
      *     instance that registers later finds the claim before it uses a primary
      * @param callback runs once, unless {@link #release} comes first; receives true if no instance
      *     uses a primary any more, false if the attempt was given up
@@ -114,8 +116,10 @@
     void block(
             String service,
             long token,
-            Map<String, InstanceEntry> receivers,
+            Map<String, InstanceEntry> listed,
             Consumer<Boolean> callback) {
+        Map<String, InstanceEntry> receivers = new HashMap<>(mOtherInstances);
+        receivers.putAll(listed);
         mRegistry.merge(service, mRegistry.fence(service).withAnnounced(token));
         FenceRound confirmations = new FenceRound(receivers.keySet(), mClock.getAsLong());
         Announcement announcement =
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -37,6 +37,7 @@
 public final class FleetController {
     private final EventLoop mLoop;
     private final Supplier<FleetView> mView;
+    private final ControlPlane mControl;
     private final PeerChannel mPeers;
     private final TrafficServer mTraffic;
     private final DemandExchange mDemandExchange;
@@ -69,6 +70,7 @@
             TrafficMetrics metrics) {
         mLoop = loop;
         mView = control::view;
+        mControl = control;
         PeerChannel peers = new PeerChannel(loop, settings.localAddress(), settings.peerPort());
         mPeers = peers;
         mTraffic = traffic;
@@ -91,6 +93,7 @@
                         peers,
                         platform.claims(),
                         following.epochs(),
+                        control::isInstanceListSettled,
                         clock,
                         guard,
                         new Random());
@@ -121,6 +124,10 @@
             StoreEpochTracker epochs,
             LongSupplier clock) {
         FenceRegistry fences = mQuorumLeaseExchange.fenceRegistry();
+        FencingTokenSource tokens = new FencingTokenSource(settings.instance(), fences);
+        if (mGuardsPrimaries) {
+            epochs.addListener(newClaimRestoration(settings, platform, tokens, epochs));
+        }
         return new ReplacementContext(
                 settings.instance(),
                 platform.claims(),
@@ -128,14 +135,30 @@
                 probe,
                 mQuorumLeaseExchange.fenceExchange(),
                 fences,
-                new FencingTokenSource(settings.instance(), fences),
+                tokens,
                 epochs,
+                mControl::isInstanceListSettled,
                 platform.instances(),
                 mGuardsPrimaries,
                 clock,
                 mView);
     }
 
+    private ClaimRestoration newClaimRestoration(
+            GatewaySettings settings,
+            PlatformConnection platform,
+            FencingTokenSource tokens,
+            StoreEpochTracker epochs) {
+        return new ClaimRestoration(
+                mLoop,
+                settings.instance(),
+                platform.claims(),
+                mQuorumLeaseExchange.fenceRegistry(),
+                tokens,
+                epochs,
+                mControl::isFollowingStore);
+    }
+
     private static ServerProbe newProbe(
             EventLoop loop,
             GatewaySettings settings,
@@ -216,11 +239,13 @@
     private void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
         mTraffic.onOtherInstances(otherInstances);
         mDemandExchange.onOtherInstances(otherInstances);
-        mReachabilityPoll.onOtherInstances(otherInstances);
         mTokenExchange.onOtherInstances(otherInstances);
         mConfirmationExchange.onOtherInstances(otherInstances);
-        mQuorumLeaseExchange.onOtherInstances(otherInstances);
         mPositionExchange.onOtherInstances(otherInstances);
+        if (mControl.isInstanceListComplete()) {
+            mReachabilityPoll.onOtherInstances(otherInstances);
+            mQuorumLeaseExchange.onOtherInstances(otherInstances);
+        }
     }
 
     private void onMessage(InstanceMessage message, InetSocketAddress sender) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.CandidateSelector;
 import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.engine.promotion.ReplicaState;
+import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
@@ -152,6 +154,11 @@
             close("store: " + Futures.unwrap(failure).getMessage());
             return;
         }
+        StoreEpoch epoch = page.revision().epoch();
+        if (mContext.epochs().observe(epoch) != StoreEpochTracker.Verdict.CURRENT) {
+            close("store: the epoch is missing or has ended");
+            return;
+        }
         Map<String, InstanceEntry> instances = new HashMap<>();
         for (FeedEntry<InstanceEntry> entry : page.entries()) {
             entry.value().ifPresent(value -> instances.put(entry.name(), value));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
@@ -41,6 +41,7 @@
     private final BooleanSupplier mObsolete;
     private final FencingTokenSource mTokens;
     private final StoreEpochTracker mEpochs;
+    private final BooleanSupplier mSettled;
     private Optional<Long> mForeignClaimVersion = Optional.empty();
     private long mForeignClaimSeenNanos;
     private PromotionClaim mClaim;
@@ -63,6 +64,7 @@
         mObsolete = obsolete;
         mTokens = context.tokens();
         mEpochs = context.epochs();
+        mSettled = context.settled();
     }
 
     private long millisSince(long nanos) {
@@ -83,7 +85,8 @@
     }
 
     /**
-     * Writes the claim as soon as no other instance holds one.
+     * Writes the claim as soon as no other instance holds one, and none can hold one that the store
+     * has lost.
      *
      * @param callback runs once; receives the reason if the claim was not acquired, else empty
      */
@@ -120,6 +123,10 @@
             callback.accept(Optional.of("store: the epoch is missing or has ended"));
             return;
         }
+        if (!mSettled.getAsBoolean()) {
+            acquireLater(callback);
+            return;
+        }
         Optional<StoredClaim> stored = answer.content();
         boolean isForeign =
                 stored.isPresent()
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.membership.DomainRepresentatives;
@@ -80,6 +81,7 @@
             PeerChannel peers,
             ClaimStore claims,
             StoreEpochTracker epochs,
+            BooleanSupplier settled,
             LongSupplier clock,
             PrimaryLeaseGuard guard,
             Random random) {
@@ -94,7 +96,8 @@
         mFenceRegistry.addChangeListener(this::publish);
         mFenceExchange = new FenceExchange(loop, mInstance, peers, clock, mFenceRegistry);
         mStoreLease =
-                new StoreLease(loop, claims, epochs, clock, mFenceRegistry::merge, this::publish);
+                new StoreLease(
+                        loop, claims, epochs, settled, clock, mFenceRegistry::merge, this::publish);
         // Answers to questions of an earlier process of this instance must not match.
         mLastQuestionNumber = random.nextLong() >>> 1;
         mProcessId = random.nextLong() >>> 1;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReachabilityPoll.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReachabilityPoll.java
@@ -37,7 +37,8 @@
     private final ServerProbe mProbe;
     private final Random mRandom;
     private final Map<Long, Poll> mPolls = new HashMap<>();
-    private Map<String, InstanceEntry> mOtherInstances = Map.of();
+    // Empty until the list of instances is complete.
+    private Optional<Map<String, InstanceEntry>> mOtherInstances = Optional.empty();
     private long mLastPollNumber;
 
     private static final class Poll {
@@ -64,18 +65,25 @@
     }
 
     void onOtherInstances(Map<String, InstanceEntry> otherInstances) {
-        mOtherInstances = otherInstances;
+        mOtherInstances = Optional.of(otherInstances);
     }
 
     /**
      * Asks other instances, at most {@link #MAX_POLLED_INSTANCES} at random.
      *
+     * <p>Until the list of instances is complete, there may be others that reach the server, so no
+     * verdict is reached.
+     *
      * @param callback runs once; receives the verdict and an instance that reaches the server, if
      *     any
      */
     void ask(
             String server, BiConsumer<ReachabilityVote.Verdict, Optional<InstanceEntry>> callback) {
-        List<InstanceEntry> asked = new ArrayList<>(mOtherInstances.values());
+        if (mOtherInstances.isEmpty()) {
+            callback.accept(ReachabilityVote.Verdict.UNKNOWN, Optional.empty());
+            return;
+        }
+        List<InstanceEntry> asked = new ArrayList<>(mOtherInstances.get().values());
         Collections.shuffle(asked, mRandom);
         if (asked.size() > MAX_POLLED_INSTANCES) {
             asked = asked.subList(0, MAX_POLLED_INSTANCES);
@@ -109,7 +117,7 @@
         }
         poll.mVote.onAnswer(instance, answer.getReached());
         if (answer.getReached()) {
-            poll.mReachedBy = Optional.ofNullable(mOtherInstances.get(instance));
+            poll.mReachedBy = mOtherInstances.map(others -> others.get(instance));
         }
         if (poll.mVote.isDecided()) {
             end(answer.getNumber());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
@@ -1,5 +1,6 @@
 package org.plantainferry.gateway.control;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.plantainferry.engine.catalog.GroupSettings;
@@ -19,6 +20,8 @@
  * @param fenceRegistry the replacement state of each group
  * @param tokens gives out the fencing tokens of claims
  * @param epochs the epochs of the store
+ * @param settled returns whether claims may be acquired: whether all instances are listed in the
+ *     newest epoch of the store, and claims that it may have lost have ended
  * @param instances the registry of instances in the store
  * @param guardsPrimaries whether this system has to fence former primaries, because the platform
  *     does not
@@ -32,6 +35,7 @@
         FenceRegistry fenceRegistry,
         FencingTokenSource tokens,
         StoreEpochTracker epochs,
+        BooleanSupplier settled,
         InstanceRegistry instances,
         boolean guardsPrimaries,
         LongSupplier clock,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.plantainferry.engine.promotion.GroupFence;
 import org.plantainferry.engine.promotion.QuorumLease;
@@ -31,6 +32,7 @@
     private final EventLoop mLoop;
     private final ClaimStore mClaimStore;
     private final StoreEpochTracker mEpochs;
+    private final BooleanSupplier mSettled;
     private final LongSupplier mClock;
     private final BiConsumer<String, GroupFence> mFenceConsumer;
     private final Runnable mReadListener;
@@ -51,12 +53,14 @@
             EventLoop loop,
             ClaimStore store,
             StoreEpochTracker epochs,
+            BooleanSupplier settled,
             LongSupplier clock,
             BiConsumer<String, GroupFence> fenceConsumer,
             Runnable readListener) {
         mLoop = loop;
         mClaimStore = store;
         mEpochs = epochs;
+        mSettled = settled;
         mClock = clock;
         mFenceConsumer = fenceConsumer;
         mReadListener = readListener;
@@ -112,15 +116,24 @@
                         claimedServices.add(service);
                     }
                 });
-        if (mHeldUntilNanos - mClock.getAsLong() <= 0) {
-            GatewayEvent.STORE_LEASE.log("held", claimedServices, "claims read");
-        }
         mClaimedServices = Set.copyOf(claimedServices);
-        mHeldUntilNanos = sentNanos + QuorumLease.LEASE_NANOS;
         mClaimsRead = true;
+        extend(sentNanos);
         mReadListener.run();
     }
 
+    /** Extends the lease, unless the store may have lost a claim that is still in use. */
+    private void extend(long sentNanos) {
+        if (!mSettled.getAsBoolean()) {
+            GatewayEvent.STORE_LEASE.log("unconfirmed", mClaimedServices, "store restored");
+            return;
+        }
+        if (mHeldUntilNanos - mClock.getAsLong() <= 0) {
+            GatewayEvent.STORE_LEASE.log("held", mClaimedServices, "claims read");
+        }
+        mHeldUntilNanos = sentNanos + QuorumLease.LEASE_NANOS;
+    }
+
     /** Returns whether the claims have been read at least once. */
     boolean hasReadClaims() {
         return mClaimsRead;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/InstanceCodec.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/InstanceCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.gateway.peer.generated.InstanceDescription;
 import org.plantainferry.gateway.spi.InstanceEntry;
 
@@ -12,6 +13,7 @@
         return InstanceDescription.newBuilder()
                 .setFailureDomain(instance.failureDomain())
                 .setPeerAddress(instance.peerAddress())
+                .setSettledEpoch(instance.settledEpoch().number())
                 .build()
                 .toByteString();
     }
@@ -20,6 +22,10 @@
     public InstanceEntry decode(String name, ByteString content)
             throws InvalidProtocolBufferException {
         InstanceDescription instance = InstanceDescription.parseFrom(content);
-        return new InstanceEntry(name, instance.getFailureDomain(), instance.getPeerAddress());
+        return new InstanceEntry(
+                name,
+                instance.getFailureDomain(),
+                instance.getPeerAddress(),
+                StoreEpoch.of(instance.getSettledEpoch()));
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreFollowing.java
@@ -49,6 +49,7 @@
     private final StoreEpochTracker mEpochs = new StoreEpochTracker();
     private FeedFollower<RoutingConfiguration> mConfigurationFollower;
     private FeedFollower<InstanceEntry> mInstancesFollower;
+    private Optional<SharedFeed<InstanceEntry>> mInstances = Optional.empty();
     private Optional<FeedLink> mLink = Optional.empty();
     private Optional<FeedLink> mNextLink = Optional.empty();
 
@@ -107,8 +108,9 @@
                 shared(
                         FeedName.FEED_NAME_INSTANCES,
                         new InstanceCodec(),
-                        RestorePolicy.keepNothing(),
+                        RestorePolicy.keepLost(),
                         listener);
+        mInstances = Optional.of(shared);
         mInstancesFollower =
                 follower("instances", feed, INSTANCES_WATCH_MILLIS, INSTANCES_BATCH_MILLIS, shared);
         add(shared, mInstancesFollower);
@@ -195,7 +197,16 @@
         return isFollowingStore() || mLink.isPresent();
     }
 
-    private boolean isFollowingStore() {
+    /** Returns the instances whose entries a restored store has lost. */
+    public List<InstanceEntry> lostInstances() {
+        return mInstances.stream()
+                .flatMap(feed -> feed.kept().stream())
+                .flatMap(entry -> entry.value().stream())
+                .toList();
+    }
+
+    /** Returns whether the store itself is followed. */
+    public boolean isFollowingStore() {
         return mFollowers.values().stream().allMatch(FeedFollower::isWatching);
     }
 
@@ -219,7 +230,7 @@
     /** Follows another instance from now on; does nothing if it is followed already. */
     public void follow(InstanceEntry source) {
         Optional<FeedLink> newest = mNextLink.or(() -> mLink);
-        if (newest.isPresent() && newest.get().source().equals(source)) {
+        if (newest.isPresent() && newest.get().source().isSameInstance(source)) {
             return;
         }
         mNextLink.ifPresent(FeedLink::close);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -60,6 +60,10 @@
     STORE_RESTORED(6115, Logger.Level.WARN, "store-restored epoch=%s before=%s"),
     /** The store reported no usable epoch, or one that has ended. */
     STORE_EPOCH_IGNORED(6116, Logger.Level.WARN, "store-epoch-ignored epoch=%s newest=%s"),
+    /** The entry of another instance, which the restored store had lost, was written again. */
+    INSTANCE_RESTORED(6117, Logger.Level.INFO, "instance-restored name=%s epoch=%s"),
+    /** This instance recorded that the list of instances is complete in an epoch of the store. */
+    INSTANCES_SETTLED(6118, Logger.Level.INFO, "instances-settled epoch=%s others=%s"),
     /** A message to another instance exceeds the size limit and was not sent. */
     PEER_MESSAGE_TOO_LONG(6113, Logger.Level.ERROR, "peer-message-too-long content=%s bytes=%s"),
     /** A primary is suspected to have failed. */
@@ -104,6 +108,8 @@
             6213,
             Logger.Level.WARN,
             "promotion-unanswered service=%s server=%s token=%s reason=\"%s\""),
+    /** A promotion order that the restored store had lost was written again, or could not be. */
+    CLAIM_RESTORED(6214, Logger.Level.INFO, "claim-restored service=%s outcome=\"%s\""),
     /** No server connection was acquired for a request in time. */
     REQUEST_UNPLACED(
             6301,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/InstanceRegistry.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/InstanceRegistry.java
@@ -10,4 +10,7 @@
 public interface InstanceRegistry extends Feed<InstanceEntry> {
     /** Writes the entry of this instance; does nothing if an equal entry exists. */
     CompletableFuture<Void> register(InstanceEntry entry);
+
+    /** Writes the entry of another instance that the store has lost; does nothing if one exists. */
+    CompletableFuture<Void> restore(InstanceEntry entry);
 }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/FenceExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/FenceExchangeTest.java
@@ -101,6 +101,19 @@
         assertEquals(mOutcomes, List.of(true));
     }
 
+    /** Guards against an order while instances whose entries the store has lost use the primary. */
+    @Test(timeOut = 20_000)
+    public void waitsForKnownInstancesThatTheStoreDoesNotList() throws Exception {
+        mFixture.run(
+                () -> {
+                    mExchange.onOtherInstances(others());
+                    mExchange.block(SERVICE, 5, Map.of(), mOutcomes::add);
+                });
+        assertEquals(mOutcomes, List.of());
+        mFixture.run(() -> others().keySet().forEach(instance -> confirm(instance, 5)));
+        assertEquals(mOutcomes, List.of(true));
+    }
+
     /** Guards against an order after the other instances have released the group by themselves. */
     @Test(timeOut = 20_000)
     public void givesUpWhenConfirmationsArriveAfterTheOthersMayHaveReleasedTheGroup()
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
@@ -74,6 +74,7 @@
     private final BlockingQueue<Optional<String>> mAcquired = new LinkedBlockingQueue<>();
     private volatile long mNowMillis;
     private volatile long mReadMillis;
+    private volatile boolean mSettled = true;
 
     private long nowNanos() {
         return TimeUnit.MILLISECONDS.toNanos(mNowMillis);
@@ -96,6 +97,7 @@
                         fences,
                         new FencingTokenSource(holder, fences),
                         epochs,
+                        () -> mSettled,
                         null,
                         true,
                         this::nowNanos,
@@ -130,6 +132,7 @@
         mStore.mBeforeWrite = () -> {};
         mNowMillis = 0;
         mReadMillis = 0;
+        mSettled = true;
     }
 
     @AfterMethod(alwaysRun = true)
@@ -256,4 +259,17 @@
         mStore.restore(3, Optional.empty());
         acquire(manager);
     }
+
+    /** Guards against a claim beside one that the store has lost and that is still in use. */
+    @Test
+    public void acquiresNoClaimUntilTheRestoredStoreIsSettled() throws Exception {
+        mSettled = false;
+        mStore.restore(2, Optional.empty());
+        PromotionClaimManager manager = manager("holder");
+        mLoop.submit(() -> manager.acquire(mAcquired::add)).sync();
+        assertEquals(mAcquired.poll(POLLS_MILLIS, TimeUnit.MILLISECONDS), null);
+        assertTrue(mStore.mClaim.isEmpty());
+        mSettled = true;
+        assertEquals(mAcquired.poll(5, TimeUnit.SECONDS), Optional.empty());
+    }
 }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
@@ -69,6 +69,7 @@
                         mFixture.peers(),
                         new ClaimedStore(),
                         new StoreEpochTracker(),
+                        () -> true,
                         mFixture::nowNanos,
                         mGuard,
                         new Random(SEED));
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ReachabilityPollTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ReachabilityPollTest.java
@@ -60,6 +60,15 @@
                         .build());
     }
 
+    /**
+     * Guards against an instance that takes itself for the only one after the store lost entries.
+     */
+    @Test(timeOut = 20_000)
+    public void reachesNoVerdictBeforeTheListOfInstancesIsComplete() throws Exception {
+        mFixture.run(() -> mPoll.ask("server", (verdict, reachedBy) -> mVerdicts.add(verdict)));
+        assertEquals(mVerdicts, List.of(Verdict.UNKNOWN));
+    }
+
     /** Guards against the replacement of a primary that an instance reaches. */
     @Test(timeOut = 20_000)
     public void keepsAPrimaryThatAnInstanceReachesAfterTheAnswerOfAnotherCameTwice()
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/StoreLeaseTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/StoreLeaseTest.java
@@ -61,6 +61,7 @@
     private final FakeStore mClaimStore = new FakeStore();
     private EventLoop mLoop;
     private long mNowNanos;
+    private boolean mSettled;
     private Map<String, GroupFence> mFences;
     private StoreLease mLease;
 
@@ -68,6 +69,7 @@
     public void createLease() {
         mLoop = new DefaultEventLoop();
         mClaimStore.mReads = 0;
+        mSettled = true;
         mNowNanos = 1_000 * MILLI_NANOS;
         mFences = new HashMap<>();
         mLease =
@@ -75,6 +77,7 @@
                         mLoop,
                         mClaimStore,
                         new StoreEpochTracker(),
+                        () -> mSettled,
                         () -> mNowNanos,
                         mFences::put,
                         () -> {});
@@ -143,6 +146,21 @@
         assertFalse(mLease.hasReadClaims());
     }
 
+    /** Guards against a lease from a store that has lost a claim which is still in use. */
+    @Test
+    public void isNotHeldUntilTheRestoredStoreIsSettled() throws Exception {
+        mSettled = false;
+        mLease.onRegistered();
+        answer(new StoreEpoch(2), Map.of());
+        assertFalse(isHeld());
+        assertTrue(mLease.hasReadClaims());
+        mSettled = true;
+        mNowNanos += QuorumLease.LEASE_NANOS;
+        mLease.read();
+        answer(new StoreEpoch(2), Map.of());
+        assertTrue(isHeld());
+    }
+
     /** Guards against a lease from an answer of before the store lost claims. */
     @Test
     public void isNotHeldAfterAnAnswerOfAnEpochThatHasEnded() throws Exception {
