Promote no replica while one that is gone may hold acknowledged commits

Cause: only registered servers counted as possible holders of an acknowledged commit. When the entry of a crashed replica lapsed, the number of answers that a promotion needs fell with it.

Change: each run of a replica counts from its registration on, until it is proven that enough registered replicas have what the primary had after the entry was gone (SynchronousGroup). The store keeps the record for instances that start later (ReplicaMembershipKeeper). Draining replicas are asked too. While none may be promoted, callers are refused at once instead of at their deadline.

Why it works: an acknowledged commit is on as many counted replicas as confirm it, so one of the answers has it if fewer than that are missing.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/CandidateSelectorTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/CandidateSelectorTest.java
@@ -18,29 +18,22 @@
     @Test
     public void selectsReplicaWithHighestReceivedPosition() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(
-                        List.of(state("r1", 5, false), state("r2", 9, false)),
-                        2,
-                        0,
-                        Optional.empty());
+                CandidateSelector.select(List.of(state("r1", 5, false), state("r2", 9, false)));
         assertEquals(chosen.map(state -> state.server().id()), Optional.of("r2"));
     }
 
     @Test
     public void doesNotSelectDrainingReplica() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(
-                        List.of(state("r1", 5, false), state("r2", 9, true)),
-                        2,
-                        0,
-                        Optional.empty());
+                CandidateSelector.select(List.of(state("r1", 5, false), state("r2", 9, true)));
         assertEquals(chosen.map(state -> state.server().id()), Optional.of("r1"));
     }
 
     @Test
     public void requiresStatesOfAllReplicasWithOneSynchronousReplica() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(List.of(state("r1", 5, false)), 2, 1, Optional.empty());
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 5, false)), 1, 1, Optional.empty());
         assertEquals(chosen, Optional.empty());
     }
 
@@ -48,16 +41,50 @@
     @Test
     public void acceptsOneReplicaThatHasReceivedAllCommitsOfAPrimaryThatSteppedDown() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(
-                        List.of(state("r1", 5, false)), 2, 1, Optional.of(new LogPosition(3, 5)));
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 5, false)), 1, 1, Optional.of(new LogPosition(3, 5)));
         assertEquals(chosen.map(state -> state.server().id()), Optional.of("r1"));
     }
 
     @Test
     public void refusesAReplicaThatLacksACommitOfAPrimaryThatSteppedDown() {
         Optional<ReplicaState> chosen =
-                CandidateSelector.select(
-                        List.of(state("r1", 5, false)), 2, 1, Optional.of(new LogPosition(3, 6)));
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 5, false)), 1, 1, Optional.of(new LogPosition(3, 6)));
         assertEquals(chosen, Optional.empty());
     }
+
+    /** Guards against the loss of commits that only a leaving replica has confirmed. */
+    @Test
+    public void selectsADrainingReplicaThatAloneHasAllCommits() {
+        Optional<ReplicaState> chosen =
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 5, false), state("r2", 9, true)),
+                        0,
+                        1,
+                        Optional.empty());
+        assertEquals(chosen.map(state -> state.server().id()), Optional.of("r2"));
+    }
+
+    @Test
+    public void selectsAReplicaThatStaysWhereItHasAsMuchAsADrainingOne() {
+        Optional<ReplicaState> chosen =
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 9, false), state("r2", 9, true)),
+                        0,
+                        1,
+                        Optional.empty());
+        assertEquals(chosen.map(state -> state.server().id()), Optional.of("r1"));
+    }
+
+    @Test
+    public void needsOneReplicaLessWhereTwoConfirmEachCommit() {
+        Optional<ReplicaState> chosen =
+                CandidateSelector.selectWithAllCommits(
+                        List.of(state("r1", 5, false), state("r2", 9, false)),
+                        1,
+                        2,
+                        Optional.empty());
+        assertEquals(chosen.map(state -> state.server().id()), Optional.of("r2"));
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -47,6 +47,7 @@
     private final QuorumLeaseExchange mQuorumLeaseExchange;
     private final PositionExchange mPositionExchange;
     private final boolean mGuardsPrimaries;
+    private final ReplicaMembershipKeeper mMemberships;
     private final PrimaryMonitor mPrimaryMonitor;
 
     /**
@@ -99,28 +100,38 @@
                         new Random());
         mQuorumLeaseExchange.fenceRegistry().setPrimaryListener(control::onPrimaryFound);
         mGuardsPrimaries = !settings.platformFencesPrimaries();
+        mMemberships = newMembershipKeeper(settings, platform, probe, guard, following, clock);
         ReplacementContext context =
-                newReplacementContext(settings, platform, probe, following.epochs(), clock);
-        mPrimaryMonitor =
-                new PrimaryMonitor(
-                        loop,
-                        settings.instance(),
-                        clock,
-                        probe,
-                        mReachabilityPoll,
-                        traffic,
-                        control::resolvePrimary,
-                        new PrimaryVerifier(
-                                loop, clock, probe, mQuorumLeaseExchange.fenceRegistry()),
-                        (service, cause, lastPrimary, endListener) ->
-                                new PrimaryReplacement(
-                                        loop, context, service, cause, lastPrimary, endListener));
+                newReplacementContext(settings, platform, probe, guard, following.epochs(), clock);
+        mPrimaryMonitor = newPrimaryMonitor(settings, context, traffic, control, clock);
+    }
+
+    private PrimaryMonitor newPrimaryMonitor(
+            GatewaySettings settings,
+            ReplacementContext context,
+            TrafficServer traffic,
+            ControlPlane control,
+            LongSupplier clock) {
+        return new PrimaryMonitor(
+                mLoop,
+                settings.instance(),
+                clock,
+                context.probe(),
+                mReachabilityPoll,
+                traffic,
+                control::resolvePrimary,
+                new PrimaryVerifier(mLoop, clock, context.probe(), context.fenceRegistry()),
+                context.guard(),
+                (service, cause, lastPrimary, endListener) ->
+                        new PrimaryReplacement(
+                                mLoop, context, service, cause, lastPrimary, endListener));
     }
 
     private ReplacementContext newReplacementContext(
             GatewaySettings settings,
             PlatformConnection platform,
             ServerProbe probe,
+            PrimaryLeaseGuard guard,
             StoreEpochTracker epochs,
             LongSupplier clock) {
         FenceRegistry fences = mQuorumLeaseExchange.fenceRegistry();
@@ -139,11 +150,30 @@
                 epochs,
                 mControl::isInstanceListSettled,
                 platform.instances(),
+                mMemberships,
+                guard,
                 mGuardsPrimaries,
                 clock,
                 mView);
     }
 
+    private ReplicaMembershipKeeper newMembershipKeeper(
+            GatewaySettings settings,
+            PlatformConnection platform,
+            ServerProbe probe,
+            PrimaryLeaseGuard guard,
+            StoreFollowing following,
+            LongSupplier clock) {
+        return new ReplicaMembershipKeeper(
+                mLoop,
+                settings.instance(),
+                platform.memberships(),
+                following.epochs(),
+                probe,
+                guard,
+                clock);
+    }
+
     private ClaimRestoration newClaimRestoration(
             GatewaySettings settings,
             PlatformConnection platform,
@@ -233,6 +263,7 @@
      */
     public void onView(FleetView view, Optional<Map<String, InstanceEntry>> otherInstances) {
         otherInstances.ifPresent(this::onOtherInstances);
+        mMemberships.onView(view);
         mPrimaryMonitor.onView(view);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
@@ -21,6 +21,7 @@
 import org.plantainferry.gateway.spi.InstanceEntry;
 import org.plantainferry.gateway.statement.Statement;
 import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.PrimaryLeaseGuard;
 import org.plantainferry.gateway.traffic.ProbeResult;
 import org.plantainferry.gateway.traffic.ServerProbe;
 import org.plantainferry.gateway.traffic.SuspectedPrimaryListener;
@@ -45,6 +46,8 @@
     private static final long POLL_DELAY_MILLIS = 120;
     private static final long SUSPICION_COOLDOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
     private static final long RECHECK_MILLIS = 300;
+    // Each instance queries the replicas again while none may be promoted.
+    private static final long LOST_RECHECK_MILLIS_PER_INSTANCE = 20;
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -52,6 +55,7 @@
     private final ServerProbe mProbe;
     private final ReachabilityPoll mPoll;
     private final TrafficServer mTraffic;
+    private final PrimaryLeaseGuard mGuard;
     private final ReplacementFactory mReplacementFactory;
     private final Set<String> mScheduled = new HashSet<>();
     private final Set<String> mSuspected = new HashSet<>();
@@ -89,6 +93,7 @@
             TrafficServer traffic,
             BiConsumer<String, String> resolutionListener,
             PrimaryVerifier verifier,
+            PrimaryLeaseGuard guard,
             ReplacementFactory replacementFactory) {
         mLoop = loop;
         mInstance = instance;
@@ -99,6 +104,7 @@
         mResolutionListener = resolutionListener;
         mVerifier = verifier;
         verifier.onLongUnverified(this::scheduleReplacement);
+        mGuard = guard;
         mReplacementFactory = replacementFactory;
     }
 
@@ -221,7 +227,12 @@
     private void onReplacementEnded(String service) {
         mRunningReplacements.remove(service);
         mCooldownUntilNanos.put(service, mClock.getAsLong() + SUSPICION_COOLDOWN_NANOS);
-        mLoop.schedule(() -> scheduleReplacement(service), RECHECK_MILLIS, TimeUnit.MILLISECONDS);
+        boolean isLost = mGuard.isPrimaryLost(service);
+        long lostMillis = isLost ? LOST_RECHECK_MILLIS_PER_INSTANCE * mOtherInstances.size() : 0;
+        mLoop.schedule(
+                () -> scheduleReplacement(service),
+                RECHECK_MILLIS + lostMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -9,7 +9,6 @@
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
 import org.plantainferry.engine.freshness.StoreEpoch;
-import org.plantainferry.engine.promotion.CandidateSelector;
 import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.engine.promotion.ReplicaState;
 import org.plantainferry.gateway.feed.StoreEpochTracker;
@@ -63,6 +62,7 @@
     private final long mStartedNanos;
     private final Optional<CatalogServer> mLastPrimary;
     private final PromotionClaimManager mClaimManager;
+    private final CandidateSearch mSearch;
     private Optional<Long> mFenceToken = Optional.empty();
     private Optional<LogPosition> mFinalPosition = Optional.empty();
     private long mCatchUpDeadlineNanos;
@@ -90,10 +90,33 @@
                 context.view().get().catalog().primary(service).map(CatalogServer::id).orElse("");
         mStartedNanos = context.clock().getAsLong();
         mClaimManager = new PromotionClaimManager(loop, context, service, this::isReplaced);
+        mSearch = new CandidateSearch(loop, context, service, mOldPrimaryId);
     }
 
+    /**
+     * Starts the replacement.
+     *
+     * <p>Where commits wait for replicas, a primary that is lost may have been the only one to
+     * answer with all of them. Then no claim is made, and callers are told at once.
+     */
     void start() {
-        mClaimManager.acquire(this::onClaimAcquired);
+        boolean isLost =
+                mCause == ReplacementCause.MISSING || mCause == ReplacementCause.UNREACHABLE;
+        if (!isLost || mContext.memberships().group(mService).isEmpty()) {
+            mClaimManager.acquire(this::onClaimAcquired);
+            return;
+        }
+        mSearch.run(Optional.empty(), this::onFirstOutcome);
+    }
+
+    private void onFirstOutcome(Optional<CandidateSearch.Outcome> outcome) {
+        if (outcome.flatMap(CandidateSearch.Outcome::candidate).isPresent()) {
+            mContext.guard().onPrimaryReplaceable(mService);
+            mClaimManager.acquire(this::onClaimAcquired);
+            return;
+        }
+        mContext.guard().onPrimaryLost(mService);
+        end("replicas that may have acknowledged commits did not answer");
     }
 
     private long now() {
@@ -190,84 +213,37 @@
     /** Makes the primary step down, so that the replicas can receive all of its commits. */
     private void stepDown() {
         if (mLastPrimary.isEmpty()) {
-            onStepDownFailed();
-            return;
-        }
-        mContext.probe()
-                .send(mLastPrimary.get(), new Statement.Status(), STATUS_TIMEOUT_MILLIS)
-                .thenAccept(
-                        result ->
-                                mLoop.execute(
-                                        () -> onOldPrimaryStatus(mLastPrimary.get(), result)));
-    }
-
-    private void onStepDownFailed() {
-        if (!mContext.guardsPrimaries()) {
-            queryReplicasOnce();
-        }
-    }
-
-    private void onOldPrimaryStatus(CatalogServer primary, ProbeResult result) {
-        if (result.status().isEmpty() || !isOnlyPossiblePrimary(result.status().get())) {
-            onStepDownFailed();
+            onSteppedDown(Optional.empty());
             return;
         }
-        long term = result.status().get().term() + 1;
-        mContext.probe()
-                .send(primary, new Statement.StepDown(term), STATUS_TIMEOUT_MILLIS)
-                .thenAccept(stepDownResult -> mLoop.execute(() -> onSteppedDown(stepDownResult)));
+        new PrimaryStepDown(mLoop, mContext, mLastPrimary.get(), mNewestOrder, this::onSteppedDown)
+                .start();
     }
 
-    /** Returns whether no other server of the group can be the primary now. */
-    private boolean isOnlyPossiblePrimary(ServerStatus status) {
-        if (!mContext.guardsPrimaries()) {
-            return true;
+    private void onSteppedDown(Optional<LogPosition> finalPosition) {
+        if (finalPosition.isPresent()) {
+            mFinalPosition = finalPosition;
+            mCatchUpDeadlineNanos = now() + TimeUnit.MILLISECONDS.toNanos(CATCH_UP_TIMEOUT_MILLIS);
         }
-        return status.primary()
-                && !mNewestOrder.isPending()
-                && status.term() >= mNewestOrder.term();
-    }
-
-    private void onSteppedDown(ProbeResult result) {
-        if (result.status().isEmpty()) {
-            onStepDownFailed();
-            return;
+        if (finalPosition.isPresent() || !mContext.guardsPrimaries()) {
+            queryReplicasOnce();
         }
-        mFinalPosition = result.status().map(ServerStatus::received);
-        mCatchUpDeadlineNanos = now() + TimeUnit.MILLISECONDS.toNanos(CATCH_UP_TIMEOUT_MILLIS);
-        queryReplicasOnce();
-    }
-
-    private List<CatalogServer> eligibleReplicas() {
-        return mContext.view().get().catalog().servers(mService).stream()
-                .filter(server -> !server.id().equals(mOldPrimaryId))
-                .filter(this::mayLead)
-                .toList();
     }
 
     private boolean mayLead(CatalogServer server) {
         return mContext.view().get().mayLead(server);
     }
 
-    /** Returns the number of servers whose logs may contain an acknowledged commit. */
-    private int replicaCount() {
-        return (int)
-                mContext.view().get().catalog().servers(mService).stream()
-                        .filter(server -> !server.id().equals(mOldPrimaryId))
-                        .count();
-    }
-
     private void queryReplicas() {
-        List<CatalogServer> replicas = eligibleReplicas();
-        if (replicas.isEmpty()) {
-            close("no eligible replica is known");
-            return;
-        }
-        ReplicaStateQuery.run(
-                mLoop, mContext.probe(), replicas, STATUS_TIMEOUT_MILLIS, this::onReplicaStates);
+        mSearch.run(
+                mFinalPosition,
+                outcome ->
+                        outcome.ifPresentOrElse(
+                                this::onOutcome, () -> close("no replica could be queried")));
     }
 
-    private void onReplicaStates(List<ReplicaState> states) {
+    private void onOutcome(CandidateSearch.Outcome outcome) {
+        List<ReplicaState> states = outcome.states();
         if (isReplaced()) {
             close("replaced by another instance");
             return;
@@ -279,12 +255,7 @@
             onNewPrimaryFound(newPrimary.get().term());
             return;
         }
-        int synchronousReplicas = mContext.synchronousReplicas(mService);
-        Optional<ReplicaState> candidate =
-                selectCandidate(
-                        states,
-                        CandidateSelector.select(
-                                states, replicaCount(), synchronousReplicas, mFinalPosition));
+        Optional<ReplicaState> candidate = selectCandidate(states, outcome.candidate());
         if (candidate.isEmpty()) {
             close("no replica that may be promoted answered");
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplacementContext.java
@@ -3,12 +3,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.plantainferry.engine.catalog.GroupSettings;
 import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.spi.ClaimStore;
 import org.plantainferry.gateway.spi.InstanceRegistry;
 import org.plantainferry.gateway.spi.PromotionClient;
 import org.plantainferry.gateway.traffic.FleetView;
+import org.plantainferry.gateway.traffic.PrimaryLeaseGuard;
 import org.plantainferry.gateway.traffic.ServerProbe;
 
 /**
@@ -23,6 +23,8 @@
  * @param settled returns whether claims may be acquired: whether all instances are listed in the
  *     newest epoch of the store, and claims that it may have lost have ended
  * @param instances the registry of instances in the store
+ * @param memberships the replicas that may hold acknowledged commits
+ * @param guard is told of groups whose primary is lost and cannot be replaced
  * @param guardsPrimaries whether this system has to fence former primaries, because the platform
  *     does not
  */
@@ -37,11 +39,8 @@
         StoreEpochTracker epochs,
         BooleanSupplier settled,
         InstanceRegistry instances,
+        ReplicaMembershipKeeper memberships,
+        PrimaryLeaseGuard guard,
         boolean guardsPrimaries,
         LongSupplier clock,
-        Supplier<FleetView> view) {
-    int synchronousReplicas(String service) {
-        GroupSettings settings = view.get().configuration().groups().get(service);
-        return settings == null ? 0 : settings.synchronousReplicas();
-    }
-}
+        Supplier<FleetView> view) {}
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -108,6 +108,11 @@
             6213,
             Logger.Level.WARN,
             "promotion-unanswered service=%s server=%s token=%s reason=\"%s\""),
+    /** No replica is promoted, because others that did not answer may hold acknowledged commits. */
+    PROMOTION_POSTPONED(6215, Logger.Level.WARN, "promotion-postponed service=%s unanswered=%s"),
+    /** The replicas that may hold acknowledged commits were recorded in the store. */
+    REPLICAS_RECORDED(
+            6216, Logger.Level.INFO, "replicas-recorded service=%s confirm=%s replicas=%s"),
     /** A promotion order that the restored store had lost was written again, or could not be. */
     CLAIM_RESTORED(6214, Logger.Level.INFO, "claim-restored service=%s outcome=\"%s\""),
     /** No server connection was acquired for a request in time. */
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PlatformConnection.java
@@ -24,6 +24,9 @@
     /** Returns the store of claims to replace primaries. */
     ClaimStore claims();
 
+    /** Returns the store of memberships of groups. */
+    ReplicaMembershipStore memberships();
+
     /** Returns the client for promoting servers to primary. */
     PromotionClient promotions();
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionAcquisition.java
@@ -26,6 +26,7 @@
     private static final long RETRY_AFTER_NO_PRIMARY_MILLIS = 400;
     private static final long RETRY_AFTER_BUSY_MILLIS = 150;
     private static final long RETRY_AFTER_ISOLATED_MILLIS = 600;
+    private static final long RETRY_AFTER_LOST_PRIMARY_MILLIS = 1_000;
     // The time that a replacement of the primary takes, from its claim to the first statement.
     private static final long RETRY_AFTER_EVACUATED_MILLIS = 1_000;
     private static final long ISOLATION_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
@@ -113,7 +114,11 @@
             refuseIsolated();
             return;
         }
-        if (primary.isEmpty() || primary.get().health().isAvoided(mBroker.now())) {
+        if (isUnusable(primary) && mBroker.isPrimaryLost(mRequest.route().service())) {
+            refuseWithoutPrimary();
+            return;
+        }
+        if (isUnusable(primary)) {
             mLastReason = primary.isEmpty() ? "no primary is known" : "the primary does not answer";
             primary.ifPresent(mBroker::reportSuspectedPrimary);
             await(PRIMARY_POLL_MILLIS, RETRY_AFTER_NO_PRIMARY_MILLIS, this::acquireAtPrimary);
@@ -132,6 +137,19 @@
                 && waited >= ISOLATION_GRACE_NANOS;
     }
 
+    private boolean isUnusable(Optional<ServerConnectionPool> primary) {
+        return primary.isEmpty() || primary.get().health().isAvoided(mBroker.now());
+    }
+
+    /**
+     * Refuses without waiting for the deadline, because no replica may be promoted in place of the
+     * lost primary.
+     */
+    private void refuseWithoutPrimary() {
+        mLastReason = "the primary is lost, and the replicas with all commits do not answer";
+        refuse(RETRY_AFTER_LOST_PRIMARY_MILLIS);
+    }
+
     /** Refuses without waiting for the deadline, because no other server can stand in. */
     private void refuseEvacuated() {
         mLastReason = "the failure domain of the server is evacuated";
@@ -165,6 +183,13 @@
             refuseIsolated();
             return;
         }
+        boolean isPrimaryLost =
+                mBroker.isPrimaryLost(mRequest.route().service())
+                        && isUnusable(mGroup.usablePrimary(mBroker.now()));
+        if (covering.isEmpty() && isPrimaryLost) {
+            refuseWithoutPrimary();
+            return;
+        }
         if (covering.isEmpty()) {
             awaitPrimaryPosition();
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
@@ -176,6 +176,11 @@
     }
 
     /** Returns whether this instance may currently use any primary of a service. */
+    /** Returns whether the primary of a service is lost and no replica may be promoted now. */
+    boolean isPrimaryLost(String service) {
+        return mLeaseGuard.isPrimaryLost(service);
+    }
+
     boolean holdsPrimaryLease(String service) {
         return mLeaseGuard.isLeaseHeld(service);
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryLeaseGuard.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/PrimaryLeaseGuard.java
@@ -2,10 +2,13 @@
 
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
- * Decides whether this instance may use a server as the primary of its group.
+ * Decides whether this instance may use a server as the primary of its group, and knows the groups
+ * whose primary is lost and cannot be replaced for now.
  *
  * <p>The control plane publishes the state of its leases. Safe to call from any thread.
  *
@@ -15,7 +18,11 @@
     /** The state when the platform itself fences former primaries, so that no lease is needed. */
     private static final State NOT_REQUIRED = new State(false, 0, 0, Set.of(), Map.of());
 
+    // Replacements of a lost primary are tried again within this time, also in a large fleet.
+    private static final long LOST_NANOS = TimeUnit.SECONDS.toNanos(15);
+
     private final LongSupplier mClock;
+    private final Map<String, Long> mLostUntilNanos = new ConcurrentHashMap<>();
     private volatile State mState = NOT_REQUIRED;
 
     private record State(
@@ -58,6 +65,22 @@
                         Map.copyOf(allowedPrimaries));
     }
 
+    /** Records that the primary of a service is lost and that no replica may be promoted now. */
+    public void onPrimaryLost(String service) {
+        mLostUntilNanos.put(service, mClock.getAsLong() + LOST_NANOS);
+    }
+
+    /** Records that a replica may be promoted in place of a lost primary. */
+    public void onPrimaryReplaceable(String service) {
+        mLostUntilNanos.remove(service);
+    }
+
+    /** Returns whether the primary of a service is lost and no replica may be promoted now. */
+    public boolean isPrimaryLost(String service) {
+        Long untilNanos = mLostUntilNanos.get(service);
+        return untilNanos != null && untilNanos - mClock.getAsLong() > 0;
+    }
+
     /** Returns whether this instance currently holds a lease to use the primary of a service. */
     public boolean isLeaseHeld(String service) {
         State state = mState;
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PromotionClaimManagerTest.java
@@ -99,6 +99,8 @@
                         epochs,
                         () -> mSettled,
                         null,
+                        null,
+                        null,
                         true,
                         this::nowNanos,
                         null);
