End all work of the gateways that a test stops

Cause: Gateway.drain leaves the control plane running, as the process exits after it. In tests, which run gateways in one process, drained ones went on to read stores, probe servers and replace primaries until the last test; ports that were used again led statements to servers of other tests, and in RestoredStoreTest the holder that should be gone was not.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -40,7 +40,7 @@
  *
  * @since 0.2
  */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
     private static final long READY_POLL_MILLIS = 10;
     // The operators' endpoint opens after this time even without a configuration, so that operators
     // can see that the instance is not ready.
@@ -58,6 +58,7 @@
     private static final long LAST_ANSWERS_MILLIS = 200;
 
     private final GatewaySettings mSettings;
+    private final EventLoopGroup mControlGroup;
     private final EventLoop mTrafficLoop;
     private final PlatformConnection mPlatform;
     private final LongSupplier mClock;
@@ -75,6 +76,7 @@
         EventLoop traffic = singleThread("traffic").next();
         PlatformConnection platform = adapter.connect(settings, controlGroup);
         LongSupplier clock = new SuspensionAwareClock(System::nanoTime, System::currentTimeMillis);
+        mControlGroup = controlGroup;
         mTrafficLoop = traffic;
         mPlatform = platform;
         mClock = clock;
@@ -254,6 +256,18 @@
         GatewayEvent.DRAIN_ENDED.log(counts.sessions(), counts.transactions());
     }
 
+    /**
+     * Ends all work of the gateway, also that of the control plane, and releases its threads.
+     *
+     * <p>A process that exits need not call this. To be called after {@link #drain}, if sessions
+     * are to end in an orderly way.
+     */
+    @Override
+    public void close() {
+        mControlGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        mTrafficLoop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     /** Closes sessions that are or become idle until none is left or the time is over. */
     private SessionCounts awaitSessionEnds(long startedNanos, long endMillis)
             throws InterruptedException {
