Keep evacuations that a restored store has lost for five seconds

Callers would see: work for a failure domain that is evacuated, until the operator has requested it again after the store came back from a copy.

Change: EvacuationList leaves ControlPlane, and keeps lost evacuations until they are requested again or taken back, for 5 s at most.

Test: EvacuationListTest.keepsALostEvacuationForSomeTime; the code before dropped them with the first page.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ControlPlane.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -118,7 +117,8 @@
                     mFollowing.addInstances(mPlatform.instances(), mInstances);
                     if (mSettings.evacuationMillis().isPresent()) {
                         mFollowing.addEvacuations(
-                                mPlatform.evacuations(), new EvacuationsListener());
+                                mPlatform.evacuations(),
+                                new EvacuationList(mLoop, this::onEvacuations));
                     }
                     startFollowing();
                     mInstances.start();
@@ -337,36 +337,17 @@
         }
     }
 
-    /** Applies changes of the evacuated failure domains. */
-    private final class EvacuationsListener implements FeedListener<String> {
-        @Override
-        public void onSnapshot(FeedPage<String> page, OptionalLong coveredNanos, long outageNanos) {
-            apply(page, new HashSet<>());
-        }
-
-        @Override
-        public void onChanges(FeedPage<String> page, OptionalLong coveredNanos) {
-            apply(page, new HashSet<>(mEvacuatedDomains));
+    /** Publishes the evacuated failure domains. */
+    private void onEvacuations(Set<String> domains) {
+        boolean isFirst = !mEvacuationsRead;
+        boolean changed = !domains.equals(mEvacuatedDomains);
+        mEvacuationsRead = true;
+        mEvacuatedDomains = Set.copyOf(domains);
+        if (changed) {
+            GatewayEvent.DOMAINS_EVACUATED.log(domains);
         }
-
-        private void apply(FeedPage<String> page, Set<String> domains) {
-            for (FeedEntry<String> entry : page.entries()) {
-                if (entry.value().isPresent()) {
-                    domains.add(entry.name());
-                } else {
-                    domains.remove(entry.name());
-                }
-            }
-            boolean changed = !domains.equals(mEvacuatedDomains);
-            if (changed) {
-                GatewayEvent.DOMAINS_EVACUATED.log(domains);
-            }
-            boolean isFirst = !mEvacuationsRead;
-            mEvacuationsRead = true;
-            mEvacuatedDomains = Set.copyOf(domains);
-            if (changed || isFirst) {
-                publish();
-            }
+        if (changed || isFirst) {
+            publish();
         }
     }
 }
