Write lost entries of instances again below the rate of the store

Cause: the instances that follow the store in four domains each began with all entries after 1.5 s, before the watch showed them what the others had written, 10 ms apart each.

Change: a common rate of 350 writes a second is divided by the number of domains; after 2.2 s the list is read again, and what is still missing is written in an order that differs by domain.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/InstanceList.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/InstanceList.java
@@ -95,7 +95,15 @@
         mSettlement =
                 new RegistrySettlement(
                         TimeUnit.MILLISECONDS.toNanos(noticeMillis + RESTORATION_MILLIS));
-        mRestoration = new InstanceRestoration(loop, ownEntry, registry, following, clock);
+        mRestoration =
+                new InstanceRestoration(
+                        loop,
+                        ownEntry,
+                        registry,
+                        following::lostInstances,
+                        following::isFollowingStore,
+                        following::readInstances,
+                        clock);
     }
 
     /** Starts to wait for the list. */
