Show a restored store and a postponed promotion in explanations

An operator asks why a write was refused; plantainferry explain passed over PF6115, PF6118 and PF6215. Test: ExplainCommandTest.showsARestoredStoreAndThePromotionThatWasPostponed.

--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
@@ -9,16 +9,20 @@
 /**
  * Keeps the newest log line about each subject of the state that an instance knows.
  *
- * <p>A subject is the configuration, the store feed of one kind of object, the list of instances, a
- * server, the room at a server, the waits of statements of one priority, or the replacement of a
- * service's primary.
+ * <p>A subject is the configuration, the store feed of one kind of object, the restoration of the
+ * store, the list of instances, a server, the room at a server, the waits of statements of one
+ * priority, or the replacement of a service's primary.
  *
  * @since 0.2
  */
 final class KnownStateLog {
     private static final Set<String> STORE_CODES = Set.of("PF6103", "PF6104");
     private static final Set<String> REPLACEMENT_CODES =
-            Set.of("PF6201", "PF6202", "PF6203", "PF6204");
+            Set.of("PF6201", "PF6202", "PF6203", "PF6204", "PF6215");
+
+    /** The events about a store that was restored from a copy. */
+    private static final Set<String> RESTORATION_CODES = Set.of("PF6115", "PF6118");
+
     private static final String CONFIGURATION_CODE = "PF6101";
     private static final String SERVER_CODE = "PF6105";
     private static final String INSTANCES_CODE = "PF6106";
@@ -43,6 +47,9 @@
         if (STORE_CODES.contains(line.code())) {
             return "store " + line.field("feed");
         }
+        if (RESTORATION_CODES.contains(line.code())) {
+            return line.code();
+        }
         if (REPLACEMENT_CODES.contains(line.code())) {
             return "replacement " + line.field("service");
         }
--- a/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
+++ b/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
@@ -74,6 +74,29 @@
         assertTrue(mTester.err().contains("at least one log file"), mTester.err());
     }
 
+    private static final String LOST_PRIMARY_LOG =
+            """
+            2026-01-15T18:28:05.000Z INFO PF6001 started instance=como-1 domain=como callers=10:1
+            2026-01-15T18:28:06.000Z WARN PF6115 store-restored epoch=3 before=2
+            2026-01-15T18:28:06.500Z WARN PF6215 promotion-postponed service=ledger unanswered=[s2]
+            2026-01-15T18:28:06.500Z WARN PF6215 promotion-postponed service=other unanswered=[s8]
+            2026-01-15T18:28:07.000Z WARN PF6301 request-unplaced request=r5 purpose=WRITE \
+            service=ledger reason="the primary is lost, and the replicas with all commits do not \
+            answer"
+            """;
+
+    /** Guards against a refusal whose cause, a lost primary or a restored store, is not shown. */
+    @Test
+    public void showsARestoredStoreAndThePromotionThatWasPostponed() {
+        assertEquals(
+                mTester.run("explain", "r5", CommandLineTester.writeFile(LOST_PRIMARY_LOG)), 0);
+        String out = mTester.out();
+        assertTrue(out.contains("known for 1000 ms: PF6115 store-restored epoch=3"), out);
+        assertTrue(out.contains("known for 500 ms: PF6215 promotion-postponed"), out);
+        assertTrue(out.contains("no primary was available; see the replacement above"), out);
+        assertFalse(out.contains("s8"), out);
+    }
+
     private static final String SHORT_ROOM_LOG =
             """
             2026-01-15T18:28:05.000Z INFO PF6001 started instance=como-1 domain=como callers=10:1
