Log a series of unusable epochs once, and name sources that report none

The line PF6116 came with each answer, PF6109 did not name an instance that is not followed because its build reports no epoch.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -13,6 +13,7 @@
 import org.plantainferry.engine.freshness.ConfirmationSources;
 import org.plantainferry.engine.freshness.FeedLag;
 import org.plantainferry.gateway.feed.StoreFollowing;
+import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.ConfirmationAnswer;
 import org.plantainferry.gateway.peer.generated.ConfirmationQuestion;
@@ -236,6 +237,9 @@
         long now = mClock.getAsLong();
         long ageNanos = AgeCodec.decodeNanos(answer.getAgeMillis());
         boolean isComparable = mFollowing.reportsEpochs(answer.getRevisionsList());
+        if (!isComparable) {
+            GatewayEvent.FEED_LINK_FAILED.log(source, "it reports no epoch of the store");
+        }
         if (ageNanos >= mStaleNanos || !isComparable) {
             mSources.exclude(source, now);
         } else if (mFollowsInstances) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreEpochTracker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreEpochTracker.java
@@ -30,6 +30,8 @@
 
     private final List<Listener> mListeners = new ArrayList<>();
     private StoreEpoch mNewest = StoreEpoch.UNKNOWN;
+    // The epoch of the last answer, so that a series of equal ones is logged once.
+    private StoreEpoch mLast = StoreEpoch.UNKNOWN;
 
     /** Adds a listener, which is called once for each epoch after the first one. */
     public void addListener(Listener listener) {
@@ -43,16 +45,17 @@
 
     /** Records the epoch of an answer and returns what it says about the use of the answer. */
     public Verdict observe(StoreEpoch epoch) {
+        boolean isRepeated = epoch.equals(mLast);
+        mLast = epoch;
         if (epoch.equals(mNewest)) {
             return Verdict.CURRENT;
         }
-        if (!epoch.isKnown()) {
-            GatewayEvent.STORE_EPOCH_IGNORED.log("none", mNewest.number());
-            return Verdict.MISSING;
-        }
         if (epoch.compareTo(mNewest) < 0) {
-            GatewayEvent.STORE_EPOCH_IGNORED.log(epoch.number(), mNewest.number());
-            return Verdict.OUTDATED;
+            if (!isRepeated) {
+                GatewayEvent.STORE_EPOCH_IGNORED.log(
+                        epoch.isKnown() ? epoch.number() : "none", mNewest.number());
+            }
+            return epoch.isKnown() ? Verdict.OUTDATED : Verdict.MISSING;
         }
         StoreEpoch before = mNewest;
         mNewest = epoch;
