Take a restarted server for its former run only if no primary answered since

Found by reading: whether a server that started again may have received a part of its log was judged by a flag of callers' refusals, which lasts up to 15 s and outlives a primary that is back.

Change: a server that has started again stands for its former run until the primary is known to have answered any instance since; the primary is asked at once when such a server is seen, and the record tells the others.

Test: SynchronousGroupTest.doesNotTakeAServerThatStartedAgainBesideAPrimaryForItsFormerRun, ...doesNotTakeARecordedServerForItsFormerRun.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/SynchronousGroup.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/SynchronousGroup.java
@@ -25,9 +25,9 @@
  * acknowledged later is not on a server that is gone. A replica that became the primary counts as
  * gone, until the others have what it received as a replica.
  *
- * <p>A server that starts again is another replica, as it may have lost its log. Only if it starts
- * while the group has no primary can it have received nothing since, so what it has is what it had
- * before. Times are monotonic nanoseconds. Not thread-safe.
+ * <p>A server that starts again is another replica, as it may have lost its log. Only if no primary
+ * has answered any instance since it started can it have received nothing since, so what it has is
+ * what it had before. Times are monotonic nanoseconds. Not thread-safe.
  *
  * @since 0.6
  */
@@ -50,7 +50,7 @@
     private Optional<ReplicaMembership> mRecord = Optional.empty();
     private StoreEpoch mRecordEpoch = StoreEpoch.UNKNOWN;
 
-    /** Holds the position of a server that started without a primary, and since when it is so. */
+    /** Holds the position of a server that has started again, and since when it is so. */
     private record Observation(Optional<LogPosition> received, long sinceNanos) {}
 
     /**
@@ -67,31 +67,20 @@
         }
     }
 
-    /**
-     * Records the registered servers of the group.
-     *
-     * @param primaryLost whether no instance reaches a primary
-     */
+    /** Records the registered servers of the group. */
     public void onServers(
-            List<CatalogServer> servers,
-            Optional<CatalogServer> primary,
-            boolean primaryLost,
-            long nowNanos) {
+            List<CatalogServer> servers, Optional<CatalogServer> primary, long nowNanos) {
         mPrimary = primary.map(ServerLife::of);
         mRegistered =
                 servers.stream()
                         .map(ServerLife::of)
                         .filter(life -> !mPrimary.equals(Optional.of(life)))
                         .collect(Collectors.toSet());
-        if (!primaryLost) {
-            mReturned.clear();
-        }
+        mReturned.keySet().retainAll(mRegistered);
         for (ServerLife life : mRegistered) {
-            boolean isReturned =
-                    primaryLost
-                            && !mMembers.contains(life)
-                            && mMembers.stream().anyMatch(life::isOtherRunOf);
-            if (isReturned) {
+            boolean hasStartedAgain =
+                    !mMembers.contains(life) && mMembers.stream().anyMatch(life::isOtherRunOf);
+            if (hasStartedAgain) {
                 mReturned.putIfAbsent(life, new Observation(Optional.empty(), nowNanos));
             } else {
                 mMembers.add(life);
@@ -100,6 +89,19 @@
         updateGone(nowNanos);
     }
 
+    /**
+     * Returns whether any server has started again, and no primary is known to have answered since.
+     */
+    public boolean hasReturned() {
+        return !mReturned.isEmpty();
+    }
+
+    /** Records that the primary answered, so that servers that started again receive from it. */
+    public void onPrimaryAnswered() {
+        mMembers.addAll(mReturned.keySet());
+        mReturned.clear();
+    }
+
     private void updateGone(long nowNanos) {
         mGoneSinceNanos.keySet().retainAll(mMembers);
         mGoneSinceNanos.keySet().removeAll(mRegistered);
@@ -112,7 +114,8 @@
      * Merges the record in the store; empty if there is none.
      *
      * <p>A replica that is missing from a record which had it before was proven to be dispensable
-     * by another instance, unless the store was restored from a copy meanwhile.
+     * by another instance, unless the store was restored from a copy meanwhile. One that has
+     * started again and is in the record received from a primary that answered another instance.
      */
     public void onRecord(Optional<ReplicaMembership> record, StoreEpoch epoch, long nowNanos) {
         Set<ServerLife> recorded = record.map(ReplicaMembership::replicas).orElse(Set.of());
@@ -124,6 +127,7 @@
             mMembers.removeAll(removed);
         }
         mMembers.addAll(recorded);
+        mReturned.keySet().removeAll(recorded);
         mRecord = record;
         mRecordEpoch = epoch;
         mGuaranteed =
@@ -144,7 +148,7 @@
 
     /** Returns whether the store holds another record. */
     public boolean isRecordOutdated() {
-        return !mRecord.equals(Optional.of(membership()));
+        return !mMembers.isEmpty() && !mRecord.equals(Optional.of(membership()));
     }
 
     /** Returns whether any replica counts only until it is proven to be dispensable. */
@@ -209,7 +213,7 @@
         return unanswered;
     }
 
-    /** Returns whether a server that started without a primary has a log, and receives nothing. */
+    /** Returns whether a server that has started again has a log, and receives nothing. */
     private boolean keptItsLog(ServerLife life, LogPosition received, long nowNanos) {
         Observation before = mReturned.get(life);
         if (!before.received().equals(Optional.of(received))) {
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/SynchronousGroupTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/SynchronousGroupTest.java
@@ -55,7 +55,7 @@
         List<CatalogServer> registered = List.of(servers);
         Optional<CatalogServer> primary =
                 registered.stream().filter(CatalogServer::primary).findFirst();
-        mGroup.onServers(registered, primary, primary.isEmpty(), mNowNanos);
+        mGroup.onServers(registered, primary, mNowNanos);
     }
 
     private void advance(long millis) {
@@ -87,7 +87,7 @@
         ReplicaMembership membership = mGroup.membership();
         SynchronousGroup restarted = new SynchronousGroup();
         restarted.onSynchronousReplicas(1, mNowNanos);
-        restarted.onServers(List.of(DEAF), Optional.empty(), true, mNowNanos);
+        restarted.onServers(List.of(DEAF), Optional.empty(), mNowNanos);
         restarted.onRecord(Optional.of(membership), EPOCH, mNowNanos);
         assertEquals(
                 restarted.select(List.of(state(DEAF, 0)), Optional.empty(), mNowNanos),
@@ -151,6 +151,17 @@
         }
     }
 
+    @Test
+    public void takesAServerThatCameBackWithItsLogBesideAPrimaryThatNeverAnsweredAgain() {
+        CatalogServer returned = server("i2", 7, false, false);
+        register(PRIMARY, DEAF);
+        register(PRIMARY, returned, DEAF);
+        register(returned, DEAF);
+        assertEquals(select(state(returned, 20), state(DEAF, 0)), Optional.empty());
+        advance(1_000);
+        assertEquals(select(state(returned, 20), state(DEAF, 0)), Optional.of("i2"));
+    }
+
     @Test
     public void takesAServerThatCameBackWithItsLogWhileThereWasNoPrimary() {
         CatalogServer returned = server("i2", 7, false, false);
@@ -168,7 +179,23 @@
     public void doesNotTakeAServerThatStartedAgainBesideAPrimaryForItsFormerRun() {
         CatalogServer restarted = server("i2", 7, false, false);
         register(PRIMARY, restarted, DEAF);
+        assertTrue(mGroup.hasReturned());
+        mGroup.onPrimaryAnswered();
+        register(restarted, DEAF);
+        for (int query = 0; query < 4; query++) {
+            assertEquals(select(state(restarted, 9), state(DEAF, 0)), Optional.empty());
+            advance(1_000);
+        }
+    }
+
+    /** Guards against the same where only another instance saw the primary answer. */
+    @Test
+    public void doesNotTakeARecordedServerForItsFormerRun() {
+        CatalogServer restarted = server("i2", 7, false, false);
         register(restarted, DEAF);
+        Set<ServerLife> recorded =
+                Set.of(ServerLife.of(SYNCHRONOUS), ServerLife.of(restarted), ServerLife.of(DEAF));
+        mGroup.onRecord(Optional.of(new ReplicaMembership(1, recorded)), EPOCH, mNowNanos);
         for (int query = 0; query < 4; query++) {
             assertEquals(select(state(restarted, 9), state(DEAF, 0)), Optional.empty());
             advance(1_000);
@@ -238,7 +265,7 @@
         SynchronousGroup group = new SynchronousGroup();
         group.onSynchronousReplicas(2, mNowNanos);
         List<CatalogServer> servers = new ArrayList<>(List.of(PRIMARY, SYNCHRONOUS, DEAF));
-        group.onServers(servers, Optional.of(PRIMARY), false, mNowNanos);
+        group.onServers(servers, Optional.of(PRIMARY), mNowNanos);
         List<ReplicaState> states = List.of(state(DEAF, 5));
         assertTrue(group.select(states, Optional.empty(), mNowNanos).isPresent());
         group.onSynchronousReplicas(1, mNowNanos);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -100,7 +100,7 @@
                         new Random());
         mQuorumLeaseExchange.fenceRegistry().setPrimaryListener(control::onPrimaryFound);
         mGuardsPrimaries = !settings.platformFencesPrimaries();
-        mMemberships = newMembershipKeeper(settings, platform, probe, guard, following, clock);
+        mMemberships = newMembershipKeeper(settings, platform, probe, following, clock);
         ReplacementContext context =
                 newReplacementContext(settings, platform, probe, guard, following.epochs(), clock);
         mPrimaryMonitor = newPrimaryMonitor(settings, context, traffic, control, clock);
@@ -161,7 +161,6 @@
             GatewaySettings settings,
             PlatformConnection platform,
             ServerProbe probe,
-            PrimaryLeaseGuard guard,
             StoreFollowing following,
             LongSupplier clock) {
         return new ReplicaMembershipKeeper(
@@ -170,7 +169,6 @@
                 platform.memberships(),
                 following.epochs(),
                 probe,
-                guard,
                 clock);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaMembershipKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaMembershipKeeper.java
@@ -23,9 +23,9 @@
 import org.plantainferry.gateway.spi.ReplicaMembershipStore;
 import org.plantainferry.gateway.spi.ReplicaMembershipStore.StoredMembership;
 import org.plantainferry.gateway.spi.StoreAnswer;
+import org.plantainferry.gateway.statement.ServerStatus;
 import org.plantainferry.gateway.statement.Statement;
 import org.plantainferry.gateway.traffic.FleetView;
-import org.plantainferry.gateway.traffic.PrimaryLeaseGuard;
 import org.plantainferry.gateway.traffic.ProbeResult;
 import org.plantainferry.gateway.traffic.ServerProbe;
 import org.plantainferry.network.http.Futures;
@@ -49,7 +49,6 @@
     private final ReplicaMembershipStore mStore;
     private final StoreEpochTracker mEpochs;
     private final ServerProbe mProbe;
-    private final PrimaryLeaseGuard mGuard;
     private final LongSupplier mClock;
     private final Map<String, SynchronousGroup> mGroups = new HashMap<>();
     private final Map<String, Long> mVersions = new HashMap<>();
@@ -60,7 +59,7 @@
     /**
      * Creates a keeper without groups.
      *
-     * @param guard knows the groups whose primary is lost
+     * @param probe asks servers for their positions
      */
     ReplicaMembershipKeeper(
             EventLoop loop,
@@ -68,14 +67,12 @@
             ReplicaMembershipStore store,
             StoreEpochTracker epochs,
             ServerProbe probe,
-            PrimaryLeaseGuard guard,
             LongSupplier clock) {
         mLoop = loop;
         mInstance = instance;
         mStore = store;
         mEpochs = epochs;
         mProbe = probe;
-        mGuard = guard;
         mClock = clock;
         epochs.addListener(epoch -> mGroups.keySet().forEach(this::scheduleFirstCheck));
     }
@@ -102,14 +99,34 @@
         SynchronousGroup group =
                 mGroups.computeIfAbsent(service, created -> new SynchronousGroup());
         Optional<CatalogServer> primary = mCatalog.primary(service);
-        boolean isPrimaryLost = primary.isEmpty() || mGuard.isPrimaryLost(service);
+        boolean hadReturned = group.hasReturned();
         group.onSynchronousReplicas(synchronousReplicas, now);
-        group.onServers(mCatalog.servers(service), primary, isPrimaryLost, now);
+        group.onServers(mCatalog.servers(service), primary, now);
+        if (group.hasReturned() && !hadReturned) {
+            primary.ifPresent(server -> askPrimary(server, group));
+        }
         if (group.isRecordOutdated() || group.hasUnproven()) {
             scheduleFirstCheck(service);
         }
     }
 
+    /** Asks the primary at once, because a server that has started again may receive from it. */
+    private void askPrimary(CatalogServer primary, SynchronousGroup group) {
+        mProbe.send(primary, new Statement.Status(), STATUS_TIMEOUT_MILLIS)
+                .thenAccept(
+                        result ->
+                                mLoop.execute(
+                                        () -> {
+                                            if (isPrimary(result)) {
+                                                group.onPrimaryAnswered();
+                                            }
+                                        }));
+    }
+
+    private static boolean isPrimary(ProbeResult result) {
+        return result.status().filter(ServerStatus::primary).isPresent();
+    }
+
     /** Returns the group of a service in which commits wait for replicas; else empty. */
     Optional<SynchronousGroup> group(String service) {
         return Optional.ofNullable(mGroups.get(service));
@@ -203,6 +220,9 @@
     private void proveOrWrite(String service, SynchronousGroup group) {
         Optional<CatalogServer> primary = mCatalog.primary(service);
         Optional<Set<ServerLife>> provable = group.provable(mClock.getAsLong());
+        if (primary.isPresent() && group.hasReturned()) {
+            askPrimary(primary.get(), group);
+        }
         if (primary.isEmpty() || provable.isEmpty()) {
             write(service, group);
             return;
@@ -218,10 +238,11 @@
 
     private void onPrimaryStatus(
             String service, SynchronousGroup group, Set<ServerLife> provable, ProbeResult result) {
-        if (result.status().isEmpty() || !result.status().get().primary()) {
+        if (!isPrimary(result)) {
             write(service, group);
             return;
         }
+        group.onPrimaryAnswered();
         Optional<String> primary = mCatalog.primary(service).map(CatalogServer::id);
         List<CatalogServer> replicas =
                 mCatalog.servers(service).stream()
