--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/FeedContents.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,6 +49,10 @@
         return entries;
     }
 
+    private Optional<FeedEntry<T>> effective(String name) {
+        return Optional.ofNullable(mKept.getOrDefault(name, mStored.get(name)));
+    }
+
     /** Returns the objects that are kept although the store lacks them or holds an older form. */
     List<FeedEntry<T>> kept() {
         return List.copyOf(mKept.values());
@@ -124,13 +127,12 @@
 
     /** Applies changes in their order. */
     void apply(FeedPage<T> page) {
-        Map<String, FeedEntry<T>> before = effective();
-        page.entries().forEach(this::putStored);
-        Set<String> changed = new HashSet<>();
-        page.entries().forEach(entry -> changed.add(entry.name()));
-        changed.stream()
-                .filter(before::containsKey)
-                .forEach(name -> keep(before.get(name), mKept.containsKey(name)));
+        Map<String, FeedEntry<T>> before = new HashMap<>();
+        for (FeedEntry<T> entry : page.entries()) {
+            effective(entry.name()).ifPresent(known -> before.putIfAbsent(entry.name(), known));
+            putStored(entry);
+        }
+        before.forEach((name, known) -> keep(known, mKept.containsKey(name)));
         mKnownRevision = resolved(page);
         if (!page.entries().isEmpty()) {
             mLastChangeRevision = mKnownRevision;
