Stay ready when the entry of an earlier process is lost

Callers saw (in a test): an instance that goes on with the entry of its earlier process answered its ready probe with 503 for up to 2 s after the store came back from a copy, and was taken out.

Cause: it registered for the first time then, and waited for the list as at a start.

Change: an instance that has published the list does not wait for it again.

Failed before: RestoredStoreTest.staysReadyWhenTheStoreLosesTheEntryOfItsEarlierProcess, 'probe 0 expected [200] but found [503]'; green after, with the class and FirstStartEndToEndTest.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/InstanceList.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/InstanceList.java
@@ -234,8 +234,11 @@
             mLoop.schedule(this::registerOrPublish, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        if (!mRegistered) {
-            mRegistered = true;
+        boolean isFirstRegistration = !mRegistered;
+        mRegistered = true;
+        // An instance that used the entry of an earlier process so far knows the others already.
+        mSettled = mSettled || mListRead;
+        if (isFirstRegistration && !mSettled) {
             // Instances that start together have not seen each other's entries.
             mLoop.schedule(
                     () -> mFollowing.readInstances(this::onSettled),
