Rank instances, ask for status and judge epochs in one place each

ReplicaMembershipKeeper computed the rank that PrimaryMonitor has (RendezvousScore.rank); four classes had one status timeout (ReplicaStateQuery); five places compared a verdict (StoreEpochTracker.isCurrent). CandidateSearch computed the unanswered replicas twice, and a check of the record asked the primary twice when a server had started again.

No change of behaviour but the one question less. The tests keep their assertions; SynchronousGroupTest passes the unanswered replicas on.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousScore.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/RendezvousScore.java
@@ -1,5 +1,6 @@
 package org.plantainferry.engine.membership;
 
+import java.util.Collection;
 import org.apache.commons.rng.core.source64.SplitMix64;
 
 /**
@@ -25,6 +26,17 @@
         return new SplitMix64(hash).nextLong();
     }
 
+    /** Returns how many of the other names have a higher score with a key than a name. */
+    public static int rank(String name, Collection<String> others, String key) {
+        long keyHash = hash(key);
+        long ownScore = score(hash(name), keyHash);
+        int rank = 0;
+        for (String other : others) {
+            rank += score(hash(other), keyHash) > ownScore ? 1 : 0;
+        }
+        return rank;
+    }
+
     /** Returns the score of a pair of names, given their hashes. */
     public static long score(long memberHash, long keyHash) {
         return new SplitMix64(memberHash ^ keyHash).nextLong();
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/SynchronousGroup.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/SynchronousGroup.java
@@ -226,12 +226,15 @@
     /**
      * Selects the replica to promote.
      *
+     * @param unanswered the result of {@link #unanswered} for these states
      * @param finalPosition the last position of a primary that has stepped down; empty if unknown
      * @return the replica; empty while a promotion could lose an acknowledged commit
      */
     public Optional<ReplicaState> select(
-            Collection<ReplicaState> states, Optional<LogPosition> finalPosition, long nowNanos) {
+            Collection<ReplicaState> states,
+            Set<ServerLife> unanswered,
+            Optional<LogPosition> finalPosition) {
         return CandidateSelector.selectWithAllCommits(
-                states, unanswered(states, nowNanos).size(), mGuaranteed, finalPosition);
+                states, unanswered.size(), mGuaranteed, finalPosition);
     }
 }
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/SynchronousGroupTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/promotion/SynchronousGroupTest.java
@@ -63,8 +63,11 @@
     }
 
     private Optional<String> select(ReplicaState... states) {
-        return mGroup.select(List.of(states), Optional.empty(), mNowNanos)
-                .map(state -> state.server().id());
+        return select(mGroup, List.of(states)).map(state -> state.server().id());
+    }
+
+    private Optional<ReplicaState> select(SynchronousGroup group, List<ReplicaState> states) {
+        return group.select(states, group.unanswered(states, mNowNanos), Optional.empty());
     }
 
     private void prove(long primaryReceived, ReplicaState... states) {
@@ -89,9 +92,7 @@
         restarted.onSynchronousReplicas(1, mNowNanos);
         restarted.onServers(List.of(DEAF), Optional.empty(), mNowNanos);
         restarted.onRecord(Optional.of(membership), EPOCH, mNowNanos);
-        assertEquals(
-                restarted.select(List.of(state(DEAF, 0)), Optional.empty(), mNowNanos),
-                Optional.empty());
+        assertEquals(select(restarted, List.of(state(DEAF, 0))), Optional.empty());
     }
 
     @Test
@@ -267,8 +268,8 @@
         List<CatalogServer> servers = new ArrayList<>(List.of(PRIMARY, SYNCHRONOUS, DEAF));
         group.onServers(servers, Optional.of(PRIMARY), mNowNanos);
         List<ReplicaState> states = List.of(state(DEAF, 5));
-        assertTrue(group.select(states, Optional.empty(), mNowNanos).isPresent());
+        assertTrue(select(group, states).isPresent());
         group.onSynchronousReplicas(1, mNowNanos);
-        assertTrue(group.select(states, Optional.empty(), mNowNanos).isEmpty());
+        assertTrue(select(group, states).isEmpty());
     }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/CandidateSearch.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/CandidateSearch.java
@@ -21,7 +21,6 @@
  * <p>Used by the control thread only.
  */
 final class CandidateSearch {
-    private static final long STATUS_TIMEOUT_MILLIS = 350;
 
     private final EventLoop mLoop;
     private final ReplacementContext mContext;
@@ -91,7 +90,7 @@
                 mLoop,
                 mContext.probe(),
                 replicas,
-                STATUS_TIMEOUT_MILLIS,
+                ReplicaStateQuery.STATUS_TIMEOUT_MILLIS,
                 states ->
                         callback.accept(
                                 Optional.of(new Outcome(states, select(states, finalPosition)))));
@@ -103,10 +102,9 @@
         if (group.isEmpty()) {
             return CandidateSelector.select(states);
         }
-        long now = mContext.clock().getAsLong();
-        Optional<ReplicaState> best = group.get().select(states, finalPosition, now);
+        Set<ServerLife> unanswered = group.get().unanswered(states, mContext.clock().getAsLong());
+        Optional<ReplicaState> best = group.get().select(states, unanswered, finalPosition);
         if (best.isEmpty()) {
-            Set<ServerLife> unanswered = group.get().unanswered(states, now);
             GatewayEvent.PROMOTION_POSTPONED.log(mService, unanswered);
         }
         return best.flatMap(replica -> outsideEvacuatedDomains(states, replica));
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryMonitor.java
@@ -202,14 +202,7 @@
 
     /** Returns the rank of this instance for a group; the instance with rank 0 acts first. */
     private int rank(String service) {
-        long groupHash = RendezvousScore.hash(service);
-        long ownScore = RendezvousScore.score(RendezvousScore.hash(mInstance), groupHash);
-        int rank = 0;
-        for (String otherInstance : mOtherInstances) {
-            long score = RendezvousScore.score(RendezvousScore.hash(otherInstance), groupHash);
-            rank += score > ownScore ? 1 : 0;
-        }
-        return Math.min(MAX_RANK, rank);
+        return Math.min(MAX_RANK, RendezvousScore.rank(mInstance, mOtherInstances, service));
     }
 
     private void replace(String service, ReplacementCause cause) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryReplacement.java
@@ -8,10 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.api.session.LogPosition;
 import org.plantainferry.engine.catalog.CatalogServer;
-import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.engine.promotion.ReplicaState;
-import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.spi.FeedEntry;
 import org.plantainferry.gateway.spi.FeedPage;
@@ -41,7 +39,6 @@
  * thread only.
  */
 final class PrimaryReplacement {
-    private static final long STATUS_TIMEOUT_MILLIS = 350;
     private static final long CATCH_UP_TIMEOUT_MILLIS = 700;
     private static final long CATCH_UP_POLL_MILLIS = 60;
     private static final long ORDER_RETRY_MILLIS = 120;
@@ -177,8 +174,7 @@
             close("store: " + Futures.unwrap(failure).getMessage());
             return;
         }
-        StoreEpoch epoch = page.revision().epoch();
-        if (mContext.epochs().observe(epoch) != StoreEpochTracker.Verdict.CURRENT) {
+        if (!mContext.epochs().isCurrent(page.revision().epoch())) {
             close("store: the epoch is missing or has ended");
             return;
         }
@@ -419,7 +415,10 @@
         Optional<CatalogServer> entry = mContext.view().get().catalog().server(server);
         if (mContext.guardsPrimaries() && entry.isPresent()) {
             mContext.probe()
-                    .send(entry.get(), new Statement.Status(), STATUS_TIMEOUT_MILLIS)
+                    .send(
+                            entry.get(),
+                            new Statement.Status(),
+                            ReplicaStateQuery.STATUS_TIMEOUT_MILLIS)
                     .thenAccept(
                             result ->
                                     mLoop.execute(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryStepDown.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PrimaryStepDown.java
@@ -17,7 +17,6 @@
  * <p>Used by the control thread only.
  */
 final class PrimaryStepDown {
-    private static final long STATUS_TIMEOUT_MILLIS = 350;
 
     private final EventLoop mLoop;
     private final ReplacementContext mContext;
@@ -51,7 +50,7 @@
 
     private void send(Statement statement, Consumer<ProbeResult> listener) {
         mContext.probe()
-                .send(mPrimary, statement, STATUS_TIMEOUT_MILLIS)
+                .send(mPrimary, statement, ReplicaStateQuery.STATUS_TIMEOUT_MILLIS)
                 .thenAccept(result -> mLoop.execute(() -> listener.accept(result)));
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PromotionClaimManager.java
@@ -167,7 +167,7 @@
 
     /** Returns whether an answer is of the newest epoch, so that claims may rest on it. */
     private boolean isCurrent(StoreAnswer<?> answer) {
-        return mEpochs.observe(answer.epoch()) == StoreEpochTracker.Verdict.CURRENT;
+        return mEpochs.isCurrent(answer.epoch());
     }
 
     private void onWritten(
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaMembershipKeeper.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaMembershipKeeper.java
@@ -42,7 +42,6 @@
     private static final long CHECK_DELAY_MILLIS = 200;
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
     private static final long DELAY_PER_RANK_MILLIS = 500;
-    private static final long STATUS_TIMEOUT_MILLIS = 350;
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -112,7 +111,7 @@
 
     /** Asks the primary at once, because a server that has started again may receive from it. */
     private void askPrimary(CatalogServer primary, SynchronousGroup group) {
-        mProbe.send(primary, new Statement.Status(), STATUS_TIMEOUT_MILLIS)
+        mProbe.send(primary, new Statement.Status(), ReplicaStateQuery.STATUS_TIMEOUT_MILLIS)
                 .thenAccept(
                         result ->
                                 mLoop.execute(
@@ -138,23 +137,14 @@
 
     private void scheduleCheck(String service, long delayMillis) {
         if (mScheduled.add(service)) {
+            int rank = RendezvousScore.rank(mInstance, mOtherInstances, service);
             mLoop.schedule(
                     () -> check(service),
-                    delayMillis + rank(service) * DELAY_PER_RANK_MILLIS,
+                    delayMillis + rank * DELAY_PER_RANK_MILLIS,
                     TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Returns how many other instances check the record of a service before this one. */
-    private long rank(String service) {
-        long serviceHash = RendezvousScore.hash(service);
-        long ownScore = RendezvousScore.score(RendezvousScore.hash(mInstance), serviceHash);
-        return mOtherInstances.stream()
-                .map(other -> RendezvousScore.score(RendezvousScore.hash(other), serviceHash))
-                .filter(score -> score > ownScore)
-                .count();
-    }
-
     private void check(String service) {
         SynchronousGroup group = mGroups.get(service);
         if (group == null) {
@@ -201,7 +191,7 @@
         if (failure != null) {
             return Optional.of("store: " + Futures.unwrap(failure).getMessage());
         }
-        if (mEpochs.observe(answer.epoch()) != StoreEpochTracker.Verdict.CURRENT) {
+        if (!mEpochs.isCurrent(answer.epoch())) {
             return Optional.of("store: the epoch is missing or has ended");
         }
         Optional<StoredMembership> stored = answer.content();
@@ -220,29 +210,29 @@
     private void proveOrWrite(String service, SynchronousGroup group) {
         Optional<CatalogServer> primary = mCatalog.primary(service);
         Optional<Set<ServerLife>> provable = group.provable(mClock.getAsLong());
-        if (primary.isPresent() && group.hasReturned()) {
-            askPrimary(primary.get(), group);
-        }
-        if (primary.isEmpty() || provable.isEmpty()) {
+        if (primary.isEmpty() || (provable.isEmpty() && !group.hasReturned())) {
             write(service, group);
             return;
         }
-        mProbe.send(primary.get(), new Statement.Status(), STATUS_TIMEOUT_MILLIS)
+        mProbe.send(primary.get(), new Statement.Status(), ReplicaStateQuery.STATUS_TIMEOUT_MILLIS)
                 .thenAccept(
                         result ->
                                 mLoop.execute(
-                                        () ->
-                                                onPrimaryStatus(
-                                                        service, group, provable.get(), result)));
+                                        () -> onPrimaryStatus(service, group, provable, result)));
     }
 
     private void onPrimaryStatus(
-            String service, SynchronousGroup group, Set<ServerLife> provable, ProbeResult result) {
-        if (!isPrimary(result)) {
+            String service,
+            SynchronousGroup group,
+            Optional<Set<ServerLife>> provable,
+            ProbeResult result) {
+        if (isPrimary(result)) {
+            group.onPrimaryAnswered();
+        }
+        if (!isPrimary(result) || provable.isEmpty()) {
             write(service, group);
             return;
         }
-        group.onPrimaryAnswered();
         Optional<String> primary = mCatalog.primary(service).map(CatalogServer::id);
         List<CatalogServer> replicas =
                 mCatalog.servers(service).stream()
@@ -256,9 +246,9 @@
                 mLoop,
                 mProbe,
                 replicas,
-                STATUS_TIMEOUT_MILLIS,
+                ReplicaStateQuery.STATUS_TIMEOUT_MILLIS,
                 (List<ReplicaState> states) -> {
-                    group.onProof(provable, result.status().get().received(), states);
+                    group.onProof(provable.get(), result.status().get().received(), states);
                     write(service, group);
                 });
     }
@@ -282,9 +272,7 @@
             StoreAnswer<Boolean> answer,
             Throwable failure) {
         boolean isWritten =
-                failure == null
-                        && answer.content()
-                        && mEpochs.observe(answer.epoch()) == StoreEpochTracker.Verdict.CURRENT;
+                failure == null && answer.content() && mEpochs.isCurrent(answer.epoch());
         if (isWritten) {
             GatewayEvent.REPLICAS_RECORDED.log(
                     service, membership.synchronousReplicas(), membership.replicas());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaStateQuery.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ReplicaStateQuery.java
@@ -12,6 +12,9 @@
 
 /** Queries servers of a group for their state concurrently. */
 final class ReplicaStateQuery {
+    /** The time for which a server may take to report its status. */
+    static final long STATUS_TIMEOUT_MILLIS = 350;
+
     private final List<ReplicaState> mStates = new ArrayList<>();
     private final Consumer<List<ReplicaState>> mCallback;
     private int mOutstanding;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/StoreLease.java
@@ -99,7 +99,7 @@
                     "unconfirmed", mClaimedServices, Futures.unwrap(failure).getMessage());
             return;
         }
-        if (mEpochs.observe(answer.epoch()) != StoreEpochTracker.Verdict.CURRENT) {
+        if (!mEpochs.isCurrent(answer.epoch())) {
             GatewayEvent.STORE_LEASE.log(
                     "unconfirmed", mClaimedServices, "the epoch is missing or has ended");
             return;
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreEpochTracker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/feed/StoreEpochTracker.java
@@ -43,6 +43,11 @@
         return mNewest;
     }
 
+    /** Records the epoch of an answer and returns whether claims may rest on the answer. */
+    public boolean isCurrent(StoreEpoch epoch) {
+        return observe(epoch) == Verdict.CURRENT;
+    }
+
     /** Records the epoch of an answer and returns what it says about the use of the answer. */
     public Verdict observe(StoreEpoch epoch) {
         boolean isRepeated = epoch.equals(mLast);
