Log and measure how late the event loops run and what takes processor time

Change: PF6340 and PF6341 for a loop that runs over 100 ms late, with the processor time by kind of work; the metrics plantainferry_loop_delay_seconds and plantainferry_thread_cpu_seconds_total. A measurement runs only while a loop has work. Result: no decision uses it yet. Tests of the modules up to the gateway pass.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/Gateway.java
@@ -21,6 +21,8 @@
 import org.plantainferry.gateway.control.FleetController;
 import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
+import org.plantainferry.gateway.processor.ProcessorMetrics;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
@@ -65,6 +67,8 @@
     private final ControlPlane mControlPlane;
     private final TrafficServer mTraffic;
     private final FleetController mFleetController;
+    private final LoopDelayProbe mTrafficDelay;
+    private final LoopDelayProbe mControlDelay;
     private final CompositeMeterRegistry mMeters = new CompositeMeterRegistry();
     private volatile boolean mDraining;
     private volatile boolean mOpen;
@@ -92,19 +96,9 @@
                         controlGroup.next(), settings, platform, clock, following, this::onView);
         PrimaryLeaseGuard guard = new PrimaryLeaseGuard(clock);
         TrafficMetrics metrics = new TrafficMetrics(mMeters);
-        mTraffic =
-                new TrafficServer(
-                        traffic,
-                        settings,
-                        platform.wireFormat(),
-                        mControlPlane::view,
-                        clock,
-                        this::suspectedPrimaryListener,
-                        this::borrowTokens,
-                        this::requestPosition,
-                        this::reportDemand,
-                        metrics,
-                        guard);
+        mTrafficDelay = new LoopDelayProbe(traffic, "traffic", clock);
+        mControlDelay = new LoopDelayProbe(controlGroup.next(), "control", clock);
+        mTraffic = newTrafficServer(metrics, guard);
         mFleetController =
                 new FleetController(
                         controlGroup.next(),
@@ -115,7 +109,24 @@
                         following,
                         clock,
                         guard,
-                        metrics);
+                        metrics,
+                        mControlDelay);
+    }
+
+    private TrafficServer newTrafficServer(TrafficMetrics metrics, PrimaryLeaseGuard guard) {
+        return new TrafficServer(
+                mTrafficLoop,
+                mSettings,
+                mPlatform.wireFormat(),
+                mControlPlane::view,
+                mClock,
+                this::suspectedPrimaryListener,
+                this::borrowTokens,
+                this::requestPosition,
+                this::reportDemand,
+                metrics,
+                guard,
+                mTrafficDelay);
     }
 
     private static EventLoopGroup singleThread(String name) {
@@ -218,7 +229,8 @@
                         mPlatform.wireFormat(),
                         mPlatform.warmUpScript(),
                         mClock,
-                        () -> !mTraffic.hasNoSessions())
+                        () -> !mTraffic.hasNoSessions(),
+                        mTrafficDelay)
                 .start();
         return OPERATOR_ENDPOINT_DELAY_MILLIS;
     }
@@ -226,6 +238,7 @@
     private void startOperatorEndpoint() {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         mMeters.add(registry);
+        ProcessorMetrics.register(registry, List.of(mTrafficDelay, mControlDelay));
         new OperatorEndpoint(mSettings.operatorListener(), this::isReady, registry::scrape).start();
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/FleetController.java
@@ -13,6 +13,7 @@
 import org.plantainferry.gateway.peer.PeerListener;
 import org.plantainferry.gateway.peer.PeerProtocol;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.relay.RelayServer;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
@@ -49,6 +50,7 @@
     private final boolean mGuardsPrimaries;
     private final ReplicaMembershipKeeper mMemberships;
     private final PrimaryMonitor mPrimaryMonitor;
+    private final LoopDelayProbe mDelayProbe;
 
     /**
      * Opens the ports for messages and relayed connections of other instances.
@@ -58,6 +60,7 @@
      * @param following passes the feeds of the store on to other instances
      * @param guard is told which primaries may be used
      * @param metrics counts the answers of servers that do not match their statement
+     * @param delayProbe measures how late the control thread is
      */
     public FleetController(
             EventLoop loop,
@@ -68,8 +71,10 @@
             StoreFollowing following,
             LongSupplier clock,
             PrimaryLeaseGuard guard,
-            TrafficMetrics metrics) {
+            TrafficMetrics metrics,
+            LoopDelayProbe delayProbe) {
         mLoop = loop;
+        mDelayProbe = delayProbe;
         mView = control::view;
         mControl = control;
         PeerChannel peers = new PeerChannel(loop, settings.localAddress(), settings.peerPort());
@@ -278,6 +283,7 @@
     }
 
     private void onMessage(InstanceMessage message, InetSocketAddress sender) {
+        mDelayProbe.onWork();
         switch (message.getContentCase()) {
             case DEMAND_REPORT ->
                     mDemandExchange.onReport(message.getInstance(), message.getDemandReport());
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/log/GatewayEvent.java
@@ -170,6 +170,13 @@
     /** A link to a host was not opened or was lost. */
     HOST_LOST(
             6403, Logger.Level.INFO, "host-lost host=%s reason=\"%s\" statements=%s avoided-ms=%s"),
+    /** A thread gets too little processor time, so that its work waits. */
+    PROCESSOR_SHORT(6340, Logger.Level.WARN, "processor-short thread=%s delay-ms=%s cpu-ms=%s"),
+    /** A thread gets enough processor time again. */
+    PROCESSOR_SUFFICIENT(
+            6341,
+            Logger.Level.INFO,
+            "processor-sufficient thread=%s short-ms=%s longest-ms=%s cpu-ms=%s"),
     /** Connections were closed because they held too much of the memory of the process. */
     CONNECTIONS_CLOSED_FOR_MEMORY(
             6350,
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -78,6 +78,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, String line) {
         CallerMessage message = mTraffic.format().readCallerLine(line);
+        mTraffic.delayProbe().onWork();
         if (mClosed) {
             return;
         }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.spi.WireFormat;
 
 /**
@@ -26,6 +27,7 @@
     private final Set<CallerSession> mSessions = new LinkedHashSet<>();
     private final ConnectionMemory mMemory;
     private final int mMaxSessions;
+    private final LoopDelayProbe mDelayProbe;
     private DrainStage mDrainStage = DrainStage.SERVING;
 
     TrafficContext(
@@ -36,7 +38,8 @@
             TrafficMetrics metrics,
             StatementRunner runner,
             ConnectionMemory memory,
-            int maxSessions) {
+            int maxSessions,
+            LoopDelayProbe delayProbe) {
         mLoop = loop;
         mFormat = format;
         mBroker = broker;
@@ -45,6 +48,7 @@
         mRunner = runner;
         mMemory = memory;
         mMaxSessions = maxSessions;
+        mDelayProbe = delayProbe;
     }
 
     EventLoop loop() {
@@ -75,6 +79,11 @@
         return mMemory;
     }
 
+    /** Returns the measure of how late the traffic thread is. */
+    LoopDelayProbe delayProbe() {
+        return mDelayProbe;
+    }
+
     /**
      * Closes a connection that has no work, if more are open than may be: one that has not opened
      * its session, or else the session without work for the longest time, whose caller connects
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficServer.java
@@ -29,6 +29,7 @@
 import org.plantainferry.gateway.passing.HostLinks;
 import org.plantainferry.gateway.passing.PassingProtocol;
 import org.plantainferry.gateway.peer.PeerProtocol;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.spi.InstanceEntry;
@@ -78,6 +79,7 @@
      * @param peerPositions requests log positions from other instances
      * @param demandReports receives the demand of this instance, to be sent to the other instances
      * @param leaseGuard decides which servers may be used as primaries
+     * @param delayProbe measures how late the traffic thread is
      */
     public TrafficServer(
             EventLoop loop,
@@ -90,7 +92,8 @@
             PeerPositionSource peerPositions,
             Consumer<Map<String, Double>> demandReports,
             TrafficMetrics metrics,
-            PrimaryLeaseGuard leaseGuard) {
+            PrimaryLeaseGuard leaseGuard,
+            LoopDelayProbe delayProbe) {
         mLoop = loop;
         mSettings = settings;
         mClock = clock;
@@ -132,7 +135,8 @@
                         metrics,
                         runner,
                         memory,
-                        sessionLimit(settings));
+                        sessionLimit(settings),
+                        delayProbe);
         mHosted = new HostedOperations(mContext);
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/warmup/WarmUp.java
@@ -18,6 +18,7 @@
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.engine.catalog.WorkspaceLimit;
 import org.plantainferry.gateway.log.GatewayEvent;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.settings.ResourceSettings;
@@ -62,6 +63,7 @@
      *
      * @param loop the event loop of the traffic thread
      * @param callersPresent whether a caller has come, which ends the warm-up
+     * @param delayProbe measures how late the event loop is
      */
     public WarmUp(
             EventLoop loop,
@@ -69,7 +71,8 @@
             WireFormat format,
             WarmUpScript script,
             LongSupplier clock,
-            BooleanSupplier callersPresent) {
+            BooleanSupplier callersPresent,
+            LoopDelayProbe delayProbe) {
         mLoop = loop;
         mScript = script;
         mClock = clock;
@@ -90,7 +93,8 @@
                         (service, age, callback) -> callback.accept(Optional.empty()),
                         demand -> {},
                         new TrafficMetrics(new CompositeMeterRegistry()),
-                        new PrimaryLeaseGuard(clock));
+                        new PrimaryLeaseGuard(clock),
+                        delayProbe);
     }
 
     private static GatewaySettings loopbackSettings(GatewaySettings settings) {
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ExchangeFixture.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/ExchangeFixture.java
@@ -16,6 +16,7 @@
 import org.plantainferry.engine.catalog.ServerCatalog;
 import org.plantainferry.engine.catalog.WorkspaceLimit;
 import org.plantainferry.gateway.peer.PeerChannel;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.settings.ExperimentalSettings;
 import org.plantainferry.gateway.settings.GatewaySettings;
 import org.plantainferry.gateway.settings.ResourceSettings;
@@ -112,7 +113,8 @@
                 null,
                 demand -> {},
                 null,
-                new PrimaryLeaseGuard(this::nowNanos));
+                new PrimaryLeaseGuard(this::nowNanos),
+                new LoopDelayProbe(loop(), "traffic", this::nowNanos));
     }
 
     /** Runs steps in one task of the event loop, so that no timeout comes between them. */
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/CallerFlowTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/CallerFlowTest.java
@@ -27,7 +27,7 @@
     private CallerFlow flow(EmbeddedChannel channel) {
         TrafficContext context =
                 new TrafficContext(
-                        channel.eventLoop(), null, null, null, mMetrics, null, mMemory, 1);
+                        channel.eventLoop(), null, null, null, mMetrics, null, mMemory, 1, null);
         return new CallerFlow(channel, context, new CallerWriter(null, channel), () -> {});
     }
 
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/CallerSessionTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/CallerSessionTest.java
@@ -17,6 +17,7 @@
 import org.plantainferry.engine.catalog.ReadGuarantee;
 import org.plantainferry.engine.catalog.RoutingConfiguration;
 import org.plantainferry.engine.catalog.ServerCatalog;
+import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.spi.WireFormat;
 import org.plantainferry.gateway.statement.CallerMessage;
 import org.plantainferry.gateway.statement.Statement;
@@ -109,7 +110,8 @@
                 metrics,
                 runner,
                 new ConnectionMemory(loop, MEMORY_BYTES, metrics),
-                10);
+                10,
+                new LoopDelayProbe(loop, "traffic", System::nanoTime));
     }
 
     @Test
