Link no generated record methods and start no management beans at each start

Callers saw: after a loss of all instances, seconds without service on small machines. Cause: each process linked the generated equals, hashCode and toString of some sixteen records at run time, and the operators' endpoint started the server of management beans of the Java platform, which nobody reads, in the seconds in which the first statements need the processor. Change: the methods of the records that are compared, hashed or logged are written out, and a builder refuses to make a management server unless another builder was chosen. Concatenations inside the logging of the JDK and Undertow are not ours.

--- a/plantainferry-api/src/main/java/org/plantainferry/api/session/LogPosition.java
+++ b/plantainferry-api/src/main/java/org/plantainferry/api/session/LogPosition.java
@@ -27,6 +27,12 @@
         return new LogPosition(Math.max(term, other.term), Math.max(position, other.position));
     }
 
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public String toString() {
+        return "LogPosition[term=" + term + ", position=" + position + "]";
+    }
+
     @Override
     public int compareTo(LogPosition other) {
         int byTerm = Long.compare(term, other.term);
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/OpenStatements.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/OpenStatements.java
@@ -40,7 +40,8 @@
             return 0;
         }
         int concurrency = Math.max(closest.concurrency(), mOpen.size());
-        mOpen.removeFirstOccurrence(closest);
+        Sent removed = closest;
+        mOpen.removeIf(sent -> sent == removed);
         return concurrency;
     }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/WorkKind.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/capacity/WorkKind.java
@@ -25,4 +25,19 @@
         Preconditions.notNull(database, "database");
         Preconditions.notNull(step, "step");
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WorkKind that
+                && step == that.step
+                && database.equals(that.database);
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = database.hashCode();
+        hash = 31 * hash + step.hashCode();
+        return hash;
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/CatalogServer.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/catalog/CatalogServer.java
@@ -40,4 +40,31 @@
                 && service.equals(other.service)
                 && startedAtMillis == other.startedAtMillis;
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CatalogServer that
+                && id.equals(that.id)
+                && service.equals(that.service)
+                && address.equals(that.address)
+                && failureDomain.equals(that.failureDomain)
+                && primary == that.primary
+                && draining == that.draining
+                && slots == that.slots
+                && startedAtMillis == that.startedAtMillis;
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = id.hashCode();
+        hash = 31 * hash + service.hashCode();
+        hash = 31 * hash + address.hashCode();
+        hash = 31 * hash + failureDomain.hashCode();
+        hash = 31 * hash + Boolean.hashCode(primary);
+        hash = 31 * hash + Boolean.hashCode(draining);
+        hash = 31 * hash + slots;
+        hash = 31 * hash + Long.hashCode(startedAtMillis);
+        return hash;
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/StoreEpoch.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/freshness/StoreEpoch.java
@@ -66,4 +66,15 @@
     public int compareTo(StoreEpoch other) {
         return Long.compare(number, other.number);
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoreEpoch that && number == that.number;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(number);
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/GroupFence.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/GroupFence.java
@@ -43,4 +43,21 @@
         boolean isBlocked = other.token == token ? blocked && other.blocked : blocked;
         return new GroupFence(token, isBlocked, newest);
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof GroupFence that
+                && token == that.token
+                && blocked == that.blocked
+                && newestOrder.equals(that.newestOrder);
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = Long.hashCode(token);
+        hash = 31 * hash + Boolean.hashCode(blocked);
+        hash = 31 * hash + newestOrder.hashCode();
+        return hash;
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/PromotionOrder.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/PromotionOrder.java
@@ -47,4 +47,21 @@
         }
         return term > 0 && claimedTerm >= term;
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PromotionOrder that
+                && token == that.token
+                && server.equals(that.server)
+                && term == that.term;
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = Long.hashCode(token);
+        hash = 31 * hash + server.hashCode();
+        hash = 31 * hash + Long.hashCode(term);
+        return hash;
+    }
 }
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/QuorumLease.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/promotion/QuorumLease.java
@@ -34,7 +34,22 @@
      * @param atNanos the time at or after which each of them knew of no replacement that is unknown
      *     to this instance
      */
-    public record Contact(int instances, long atNanos) {}
+    public record Contact(int instances, long atNanos) {
+        // Written out, because a generated method is linked at run time in each process.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Contact that
+                    && instances == that.instances
+                    && atNanos == that.atNanos;
+        }
+
+        @Override
+        public int hashCode() {
+            int hash = instances;
+            hash = 31 * hash + Long.hashCode(atNanos);
+            return hash;
+        }
+    }
 
     /** Creates a lease that is not held until the number of instances is known. */
     public QuorumLease(String failureDomain) {
--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/AnsweredQuestions.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/quota/AnsweredQuestions.java
@@ -26,7 +26,22 @@
                         }
                     });
 
-    private record Question(String instance, long number) {}
+    private record Question(String instance, long number) {
+        // Written out, because a generated method is linked at run time in each process.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Question that
+                    && number == that.number
+                    && instance.equals(that.instance);
+        }
+
+        @Override
+        public int hashCode() {
+            int hash = instance.hashCode();
+            hash = 31 * hash + Long.hashCode(number);
+            return hash;
+        }
+    }
 
     /** Records a question; returns whether it had not been recorded. */
     public boolean isFirst(String instance, long number) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/GatewayMain.java
@@ -51,6 +51,7 @@
     public static void run(String[] arguments, PlatformAdapter adapter)
             throws InterruptedException {
         ConsoleLogging.install();
+        NoManagementServer.install();
         // Channel ids need to be unique in this process only; finding a hardware address is slow.
         System.setProperty(NETTY_MACHINE_ID_PROPERTY, NETTY_MACHINE_ID);
         GatewayMain main = new GatewayMain(adapter);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/settings/ExperimentalSettings.java
@@ -73,4 +73,21 @@
                 STATEMENT_HOST_WAYS.contains(statementHosts),
                 "statementHosts must be one of " + STATEMENT_HOST_WAYS);
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ExperimentalSettings that
+                && storeFollowing.equals(that.storeFollowing)
+                && serverRoom.equals(that.serverRoom)
+                && statementHosts.equals(that.statementHosts);
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = storeFollowing.hashCode();
+        hash = 31 * hash + serverRoom.hashCode();
+        hash = 31 * hash + statementHosts.hashCode();
+        return hash;
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/spi/PromotionClaim.java
@@ -29,4 +29,25 @@
     public PromotionClaim closed(PromotionOrder finalOrder, boolean unanswered) {
         return new PromotionClaim(holder, fencingToken, false, finalOrder, unanswered);
     }
+
+    // Written out, because a generated method is linked at run time in each process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PromotionClaim that
+                && holder.equals(that.holder)
+                && fencingToken == that.fencingToken
+                && open == that.open
+                && newestOrder.equals(that.newestOrder)
+                && unansweredPromotion == that.unansweredPromotion;
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = holder.hashCode();
+        hash = 31 * hash + Long.hashCode(fencingToken);
+        hash = 31 * hash + Boolean.hashCode(open);
+        hash = 31 * hash + newestOrder.hashCode();
+        hash = 31 * hash + Boolean.hashCode(unansweredPromotion);
+        return hash;
+    }
 }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LoadMetrics.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/LoadMetrics.java
@@ -24,7 +24,22 @@
     // A statement that is sent sooner has not waited.
     private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private record PriorityAtServer(String server, int priority) {}
+    private record PriorityAtServer(String server, int priority) {
+        // Written out, because a generated method is linked at run time in each process.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof PriorityAtServer that
+                    && priority == that.priority
+                    && server.equals(that.server);
+        }
+
+        @Override
+        public int hashCode() {
+            int hash = server.hashCode();
+            hash = 31 * hash + priority;
+            return hash;
+        }
+    }
 
     private final MeterRegistry mRegistry;
     private final Map<PriorityAtServer, Timer> mWaitedAtServers = new HashMap<>();
