Let timeouts of the lease follow the time that answers take

Callers saw: after a loss of all instances, statements refused with "this instance reaches neither most others nor the store" for up to nine seconds, and others that waited until their deadline. Cause: an answer counted as missing after 140 ms and was dropped when it came later, though it proves contact for 900 ms. Without a lease, each instance then asked every 50 instead of 150 ms, and all failure domains itself. On machines that are busy with their start, answers take longer than 140 ms; so all asked more and answers took longer. Change: AdaptiveTimeout follows the time of the answers (140 to 600 ms); late answers count as long as the lease; nobody asks faster or further while answers take long. What is sent is unchanged, so builds run side by side. Result: QuorumLeaseExchangeTest.holdsTheLeaseOnAnAnswerThatTakesLongerThanItsTimeout and .asksNoMoreOftenThanUsualWhileAnswersTakeLong failed before (lease not held; 10 questions in half a second) and pass. The age of contacts and the length of the lease are as before, so no rule rests on the timeout.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/QuorumLeaseExchange.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -13,6 +12,7 @@
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.membership.DomainRepresentatives;
 import org.plantainferry.engine.promotion.QuorumLease;
+import org.plantainferry.engine.retry.AdaptiveTimeout;
 import org.plantainferry.gateway.feed.StoreEpochTracker;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerChannel;
@@ -36,8 +36,11 @@
  */
 final class QuorumLeaseExchange {
     private static final long CHECK_INTERVAL_MILLIS = 150;
-    private static final long ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
-    // Callers wait while no lease is held, so contact is attempted more often for some time.
+    private static final long MIN_ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
+    // Leaves the remainder of the lease for the answer of another instance.
+    private static final long MAX_ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    // Callers wait while no lease is held, so contact is attempted more often for some time, unless
+    // answers take long: more questions would only make them take longer.
     private static final long FAST_CHECK_INTERVAL_MILLIS = 50;
     private static final long FAST_CHECK_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long EXCLUSION_MILLIS = 600;
@@ -57,6 +60,8 @@
     private final QuorumLease mLease;
     private final DomainRepresentatives mRepresentatives =
             new DomainRepresentatives("lead", EXCLUSION_MILLIS);
+    private final AdaptiveTimeout mAnswerTimeout =
+            new AdaptiveTimeout(MIN_ANSWER_TIMEOUT_NANOS, MAX_ANSWER_TIMEOUT_NANOS);
     private final Map<Long, Question> mPendingQuestions = new HashMap<>();
     private final FenceRegistry mFenceRegistry;
     private final FenceExchange mFenceExchange;
@@ -70,7 +75,17 @@
     private boolean mLeaseHeld;
     private long mLeaseLostSinceNanos;
 
-    private record Question(String asked, long sentNanos) {}
+    /** Represents a question that was not answered yet. */
+    private static final class Question {
+        private final String mAsked;
+        private final long mSentNanos;
+        private boolean mExcluded;
+
+        Question(String asked, long sentNanos) {
+            mAsked = asked;
+            mSentNanos = sentNanos;
+        }
+    }
 
     /** Represents the process and the time given in the newest answer of an instance. */
     private record Stamp(long processId, long timeNanos) {}
@@ -134,7 +149,8 @@
         boolean isFastCheck =
                 !mLeaseHeld
                         && !isHeldByStore
-                        && now - mLeaseLostSinceNanos < FAST_CHECK_PERIOD_NANOS;
+                        && now - mLeaseLostSinceNanos < FAST_CHECK_PERIOD_NANOS
+                        && !mAnswerTimeout.isExtended();
         mLoop.schedule(
                 this::check,
                 isFastCheck ? FAST_CHECK_INTERVAL_MILLIS : CHECK_INTERVAL_MILLIS,
@@ -151,12 +167,17 @@
 
     /** Excludes instances that did not answer a question in time. */
     private void excludeUnresponsive(long nowNanos) {
-        List<Question> unanswered =
-                mPendingQuestions.values().stream()
-                        .filter(question -> nowNanos - question.sentNanos >= ANSWER_TIMEOUT_NANOS)
-                        .toList();
-        unanswered.forEach(question -> mRepresentatives.exclude(question.asked, nowNanos));
-        mPendingQuestions.values().removeAll(unanswered);
+        long timeoutNanos = mAnswerTimeout.timeoutNanos();
+        for (Question question : mPendingQuestions.values()) {
+            if (!question.mExcluded && nowNanos - question.mSentNanos >= timeoutNanos) {
+                question.mExcluded = true;
+                mRepresentatives.exclude(question.mAsked, nowNanos);
+            }
+        }
+        // An answer counts from its question, so a late one is of use as long as the lease.
+        mPendingQuestions
+                .values()
+                .removeIf(question -> nowNanos - question.mSentNanos >= QuorumLease.LEASE_NANOS);
     }
 
     private void ask() {
@@ -181,7 +202,8 @@
 
     /** Returns whether the lease will soon expire unless there is contact with more instances. */
     private boolean needsExtraContacts(long nowNanos) {
-        return mLease.heldUntilNanos(nowNanos) - nowNanos < EXTRA_CONTACT_THRESHOLD_NANOS;
+        return !mAnswerTimeout.isExtended()
+                && mLease.heldUntilNanos(nowNanos) - nowNanos < EXTRA_CONTACT_THRESHOLD_NANOS;
     }
 
     private void ask(String asked, long nowNanos) {
@@ -282,13 +304,15 @@
             return;
         }
         answer.getFencesList().forEach(mFenceExchange::merge);
-        mRepresentatives.onContact(question.asked);
-        mAnswerStamps.put(question.asked, new Stamp(answer.getProcess(), answer.getStamp()));
+        mAnswerTimeout.onAnswer(mClock.getAsLong() - question.mSentNanos);
+        mRepresentatives.onContact(question.mAsked);
+        mAnswerStamps.put(question.mAsked, new Stamp(answer.getProcess(), answer.getStamp()));
         for (DomainContact contact : answer.getContactsList()) {
             long ageNanos = AgeCodec.decodeNanos(contact.getAgeMillis());
             mLease.onContact(
                     contact.getFailureDomain(),
-                    new QuorumLease.Contact(contact.getInstances(), question.sentNanos - ageNanos));
+                    new QuorumLease.Contact(
+                            contact.getInstances(), question.mSentNanos - ageNanos));
         }
         publish();
     }
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/QuorumLeaseExchangeTest.java
@@ -3,11 +3,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.plantainferry.engine.freshness.StoreEpoch;
 import org.plantainferry.engine.promotion.PromotionOrder;
 import org.plantainferry.gateway.feed.StoreEpochTracker;
@@ -29,8 +34,12 @@
     private static final long SEED = 20261206;
     private static final String SERVICE = "service";
     private static final long LEASE_MILLIS = 900;
+    private static final long CHECK_INTERVAL_MILLIS = 150;
+    private static final int RECEIVE_MILLIS = 20;
+    private static final int MAX_BYTES = 2_048;
     private static final InetSocketAddress SENDER = new InetSocketAddress(ExchangeFixture.LOCAL, 9);
 
+    private ClaimedStore mStore;
     private ExchangeFixture mFixture;
     private PrimaryLeaseGuard mGuard;
     private QuorumLeaseExchange mExchange;
@@ -39,8 +48,13 @@
 
     /** Has a claim to the group, so that the lease of the store does not apply to it. */
     private static final class ClaimedStore implements ClaimStore {
+        private volatile boolean mReachable = true;
+
         @Override
         public CompletableFuture<StoreAnswer<Map<String, PromotionClaim>>> readAll() {
+            if (!mReachable) {
+                return CompletableFuture.failedFuture(new IOException("unreachable"));
+            }
             PromotionClaim claim = new PromotionClaim("i9", 1, true, PromotionOrder.NONE, false);
             return CompletableFuture.completedFuture(
                     new StoreAnswer<>(StoreEpoch.UNKNOWN, Map.of(SERVICE, claim)));
@@ -61,13 +75,14 @@
     @BeforeMethod
     public void createExchange() {
         mFixture = new ExchangeFixture();
+        mStore = new ClaimedStore();
         mGuard = new PrimaryLeaseGuard(mFixture::nowNanos);
         mExchange =
                 new QuorumLeaseExchange(
                         mFixture.loop(),
                         ExchangeFixture.settings("i1", "a"),
                         mFixture.peers(),
-                        new ClaimedStore(),
+                        mStore,
                         new StoreEpochTracker(),
                         () -> true,
                         mFixture::nowNanos,
@@ -209,4 +224,64 @@
                     assertFalse(isHeld());
                 });
     }
+
+    /** Lets the exchange check its questions, which it does on the time of the machine. */
+    private static void awaitChecks() throws InterruptedException {
+        Thread.sleep(500);
+    }
+
+    // After a loss of all instances, answers took longer than their timeout and were dropped, so
+    // that no instance used primaries for seconds.
+    @Test(timeOut = 20_000)
+    public void holdsTheLeaseOnAnAnswerThatTakesLongerThanItsTimeout() throws Exception {
+        startWithOtherDomains();
+        mFixture.run(() -> mFixture.advanceMillis(300));
+        awaitChecks();
+        mFixture.run(
+                () -> {
+                    answerFirstQuestion();
+                    assertTrue(isHeld());
+                });
+    }
+
+    // After a loss of all instances, each asked three times as often while answers took long.
+    @Test(timeOut = 20_000)
+    public void asksNoMoreOftenThanUsualWhileAnswersTakeLong() throws Exception {
+        try (DatagramSocket receiver =
+                new DatagramSocket(new InetSocketAddress(ExchangeFixture.LOCAL, 0))) {
+            receiver.setSoTimeout(RECEIVE_MILLIS);
+            mStore.mReachable = false;
+            String address = ExchangeFixture.LOCAL + ":" + receiver.getLocalPort();
+            start(Map.of("i2", new InstanceEntry("i2", "b", address)));
+            mFixture.run(
+                    () -> {
+                        mFixture.advanceMillis(300);
+                        answerFirstQuestion();
+                        mFixture.advanceMillis(LEASE_MILLIS);
+                        mExchange.publish();
+                        assertFalse(isHeld());
+                    });
+            awaitChecks();
+            // Ends the exclusion of the instance for its answers that are missing.
+            mFixture.run(() -> ask(mProcessId, mFixture.nowNanos()));
+            int before = countDatagrams(receiver, 0);
+            long startedNanos = System.nanoTime();
+            awaitChecks();
+            int asked = countDatagrams(receiver, before) - before;
+            long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+            assertTrue(asked <= elapsedMillis / CHECK_INTERVAL_MILLIS + 1, "asked " + asked);
+        }
+    }
+
+    private static int countDatagrams(DatagramSocket receiver, int counted) throws IOException {
+        int count = counted;
+        try {
+            while (true) {
+                receiver.receive(new DatagramPacket(new byte[MAX_BYTES], MAX_BYTES));
+                count++;
+            }
+        } catch (SocketTimeoutException e) {
+            return count;
+        }
+    }
 }
