Let timeouts of positions and confirmations follow the time that answers take

Callers saw: the same seconds without service after a loss of all instances. A question for a position counted as unanswered after 80 ms, then the instance sampled the primary itself for two seconds; a source of confirmations was replaced after 250 ms, which opens a connection and transfers all that changed. Both make busy instances busier. Change: both use AdaptiveTimeout (80 to 300 ms, 240 to 800 ms), and late answers tell it how long answers take. Result: PositionExchangeTest.asksAnInstanceAgainWhoseAnswerTookLongerThanUsual failed before (no position) and passes. The age of a position still counts from its question. Messages are unchanged.

--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/ConfirmationExchange.java
@@ -12,6 +12,7 @@
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.freshness.ConfirmationSources;
 import org.plantainferry.engine.freshness.FeedLag;
+import org.plantainferry.engine.retry.AdaptiveTimeout;
 import org.plantainferry.gateway.feed.StoreFollowing;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.peer.PeerChannel;
@@ -42,6 +43,10 @@
     // An instance that knows no other one by then follows the store.
     private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     private static final int MAX_UNANSWERED_QUESTIONS = 3;
+    // At the check after a question, a missing answer counts.
+    private static final long MIN_ANSWER_TIMEOUT_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(CHECK_INTERVAL_MILLIS - 10);
+    private static final long MAX_ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
     private final EventLoop mLoop;
     private final String mInstance;
@@ -56,6 +61,8 @@
     private final long mStaleNanos;
     private Map<String, InstanceEntry> mOtherInstances = Map.of();
     private long mStartedNanos;
+    private final AdaptiveTimeout mAnswerTimeout =
+            new AdaptiveTimeout(MIN_ANSWER_TIMEOUT_NANOS, MAX_ANSWER_TIMEOUT_NANOS);
     private final Map<Long, Question> mPendingQuestions = new HashMap<>();
     private Optional<ScheduledFuture<?>> mNextCheck = Optional.empty();
     private long mLastQuestionNumber;
@@ -155,7 +162,7 @@
      * <p>One that is followed may be busy, so it is asked again while the confirmation allows.
      */
     private void excludeSilentSource(long ageNanos, long nowNanos) {
-        if (mPendingQuestions.isEmpty()) {
+        if (!isAnswerOverdue(nowNanos)) {
             return;
         }
         boolean isTolerated =
@@ -170,6 +177,12 @@
         }
     }
 
+    private boolean isAnswerOverdue(long nowNanos) {
+        long timeoutNanos = mAnswerTimeout.timeoutNanos();
+        return mPendingQuestions.values().stream()
+                .anyMatch(question -> nowNanos - question.askedNanos() >= timeoutNanos);
+    }
+
     /**
      * Reads the store, with exponential backoff until it confirms the configuration.
      *
@@ -235,6 +248,7 @@
         mPendingQuestions.clear();
         String source = question.source();
         long now = mClock.getAsLong();
+        mAnswerTimeout.onAnswer(now - question.askedNanos());
         long ageNanos = AgeCodec.decodeNanos(answer.getAgeMillis());
         boolean isComparable = mFollowing.reportsEpochs(answer.getRevisionsList());
         if (!isComparable) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PositionExchange.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/control/PositionExchange.java
@@ -13,6 +13,7 @@
 import org.plantainferry.engine.freshness.AgeCodec;
 import org.plantainferry.engine.freshness.TimedPosition;
 import org.plantainferry.engine.membership.DomainRepresentatives;
+import org.plantainferry.engine.retry.AdaptiveTimeout;
 import org.plantainferry.gateway.peer.PeerChannel;
 import org.plantainferry.gateway.peer.generated.InstanceMessage;
 import org.plantainferry.gateway.peer.generated.PositionAnswer;
@@ -29,7 +30,9 @@
  * instance. Used by the control thread only, except {@link #requestPosition}.
  */
 final class PositionExchange implements PeerPositionSource {
-    private static final long ANSWER_TIMEOUT_MILLIS = 80;
+    private static final long MIN_ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
+    // Later, a request has little of its time left to sample the primary itself.
+    private static final long MAX_ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long EXCLUSION_MILLIS = 2_000;
 
     private final EventLoop mLoop;
@@ -39,16 +42,32 @@
     private final PeerChannel mPeers;
     private final LongSupplier mClock;
     private final Map<String, DomainRepresentatives> mSamplers = new HashMap<>();
+    private final AdaptiveTimeout mAnswerTimeout =
+            new AdaptiveTimeout(MIN_ANSWER_TIMEOUT_NANOS, MAX_ANSWER_TIMEOUT_NANOS);
     private final Map<Long, Question> mPendingQuestions = new HashMap<>();
     private Map<String, InstanceEntry> mOtherInstances = Map.of();
     private Map<String, String> mDomains = Map.of();
     private long mLastQuestionNumber;
 
-    private record Question(
-            String service,
-            String asked,
-            long sentNanos,
-            Consumer<Optional<TimedPosition>> callback) {}
+    /** Represents a question that was not answered yet. */
+    private static final class Question {
+        private final String mService;
+        private final String mAsked;
+        private final long mSentNanos;
+        private final Consumer<Optional<TimedPosition>> mCallback;
+        private boolean mGivenUp;
+
+        Question(
+                String service,
+                String asked,
+                long sentNanos,
+                Consumer<Optional<TimedPosition>> callback) {
+            mService = service;
+            mAsked = asked;
+            mSentNanos = sentNanos;
+            mCallback = callback;
+        }
+    }
 
     PositionExchange(
             EventLoop loop,
@@ -105,7 +124,8 @@
                         .setPositionQuestion(question)
                         .build(),
                 sampler.get().peerAddress());
-        mLoop.schedule(() -> onTimeout(number), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        mLoop.schedule(
+                () -> onTimeout(number), mAnswerTimeout.timeoutNanos(), TimeUnit.NANOSECONDS);
     }
 
     private DomainRepresentatives samplers(String service) {
@@ -120,11 +140,16 @@
     }
 
     private void onTimeout(long number) {
-        Question question = mPendingQuestions.remove(number);
-        if (question != null) {
-            samplers(question.service).exclude(question.asked, mClock.getAsLong());
-            mTraffic.execute(() -> question.callback.accept(Optional.empty()));
+        Question question = mPendingQuestions.get(number);
+        if (question == null) {
+            return;
         }
+        question.mGivenUp = true;
+        samplers(question.mService).exclude(question.mAsked, mClock.getAsLong());
+        mTraffic.execute(() -> question.mCallback.accept(Optional.empty()));
+        // Until then, a late answer still tells how long answers take.
+        mLoop.schedule(
+                () -> mPendingQuestions.remove(number), EXCLUSION_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     void onAnswer(PositionAnswer answer) {
@@ -132,6 +157,14 @@
         if (question == null) {
             return;
         }
+        long elapsedNanos = mClock.getAsLong() - question.mSentNanos;
+        mAnswerTimeout.onAnswer(elapsedNanos);
+        if (elapsedNanos < mAnswerTimeout.timeoutNanos()) {
+            samplers(question.mService).onContact(question.mAsked);
+        }
+        if (question.mGivenUp) {
+            return;
+        }
         Optional<TimedPosition> position = Optional.empty();
         boolean isValid = answer.getTerm() >= 0 && answer.getPosition() >= 0;
         if (answer.getKnown() && isValid) {
@@ -142,10 +175,10 @@
                     Optional.of(
                             new TimedPosition(
                                     new LogPosition(answer.getTerm(), answer.getPosition()),
-                                    question.sentNanos - ageNanos));
+                                    question.mSentNanos - ageNanos));
         }
         Optional<TimedPosition> result = position;
-        mTraffic.execute(() -> question.callback.accept(result));
+        mTraffic.execute(() -> question.mCallback.accept(result));
     }
 
     void onQuestion(PositionQuestion question, InetSocketAddress sender) {
--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PositionExchangeTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/control/PositionExchangeTest.java
@@ -113,4 +113,20 @@
         mFixture.run(() -> {});
         assertEquals(List.copyOf(mPositions), List.of());
     }
+
+    // After a loss of all instances, each sampled the primaries itself because answers took longer
+    // than 80 ms, which made all of them busier.
+    @Test(timeOut = 20_000)
+    public void asksAnInstanceAgainWhoseAnswerTookLongerThanUsual() throws Exception {
+        mExchange.requestPosition(SERVICE, 10, mPositions::add);
+        assertEquals(nextPosition(), Optional.empty());
+        mFixture.run(
+                () -> {
+                    mFixture.advanceMillis(200);
+                    mExchange.onAnswer(answer(FIRST_NUMBER, 42));
+                });
+        mExchange.requestPosition(SERVICE, 10, mPositions::add);
+        mFixture.run(() -> mExchange.onAnswer(answer(FIRST_NUMBER + 1, 43)));
+        assertEquals(nextPosition().orElseThrow().position(), new LogPosition(1, 43));
+    }
 }
