Limit the requests in progress while the processor is short

Callers saw: after a loss of all instances, requests that waited until their deadline at instances that worked all the time; 33 of 578 were served within their objective between 5 and 9 s after the start. Cause: the processor of the instance was no resource to any decision. The traffic thread turned to all requests in turn; each needs several turns, so all took longer than their callers wait, and what was spent on them was lost. Change: WorkLimit, an adaptive limit of requests in progress that holds only while the traffic thread is late by 100 ms or more twice in a row; operations above it are refused at once as not run, before they take a token of their rate. Statements of open transactions always go on. The timer of idle transactions moved into a class of its own.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/processor/ProcessorShortage.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/processor/ProcessorShortage.java
@@ -5,8 +5,9 @@
 /**
  * Recognizes periods in which a thread gets too little processor time.
  *
- * <p>A period begins with a long delay, and ends after several short ones in a row, so that one
- * quick task does not end it. Times are monotonic nanoseconds. Not thread-safe.
+ * <p>A period begins with two long delays in a row, so that a process that was only suspended once
+ * is not short, and ends after several short ones in a row, so that one quick task does not end it.
+ * Times are monotonic nanoseconds. Not thread-safe.
  *
  * @since 0.6
  */
@@ -17,9 +18,11 @@
     /** The delay up to which a thread may be out of the shortage again. */
     public static final long END_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
+    private static final int LONG_DELAYS_TO_BEGIN = 2;
     private static final int SHORT_DELAYS_TO_END = 5;
 
     private boolean mShort;
+    private int mLongDelays;
     private int mShortDelays;
     private long mBeganNanos;
     private long mEndedNanos;
@@ -38,7 +41,8 @@
     /** Applies a measured delay. */
     public Change onDelay(long delayNanos, long nowNanos) {
         if (!mShort) {
-            return delayNanos >= BEGIN_NANOS ? begin(delayNanos, nowNanos) : Change.NONE;
+            mLongDelays = delayNanos >= BEGIN_NANOS ? mLongDelays + 1 : 0;
+            return mLongDelays >= LONG_DELAYS_TO_BEGIN ? begin(delayNanos, nowNanos) : Change.NONE;
         }
         mLongestNanos = Math.max(mLongestNanos, delayNanos);
         mShortDelays = delayNanos <= END_NANOS ? mShortDelays + 1 : 0;
@@ -52,12 +56,18 @@
 
     private Change begin(long delayNanos, long nowNanos) {
         mShort = true;
+        mLongDelays = 0;
         mShortDelays = 0;
         mBeganNanos = nowNanos;
         mLongestNanos = delayNanos;
         return Change.BEGUN;
     }
 
+    /** Returns whether a period goes on or the latest delay may begin one. */
+    public boolean needsMeasurement() {
+        return mShort || mLongDelays > 0;
+    }
+
     /** Returns whether a period goes on. */
     public boolean isShort() {
         return mShort;
--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/processor/ProcessorShortageTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/processor/ProcessorShortageTest.java
@@ -32,8 +32,21 @@
         assertFalse(mDelay.isMeasuring());
     }
 
+    @Test
+    public void takesOneLongDelayForNoShortage() {
+        ProcessorShortage shortage = new ProcessorShortage();
+        for (int run = 0; run < 10; run++) {
+            long delayNanos = run % 2 == 0 ? LATE_NANOS : 0;
+            assertEquals(
+                    shortage.onDelay(delayNanos, run * INTERVAL_NANOS),
+                    ProcessorShortage.Change.NONE);
+        }
+        assertFalse(shortage.isShort());
+    }
+
     @Test
     public void endsAShortageOnlyAfterSeveralShortDelays() {
+        mShortage.onDelay(LATE_NANOS, -INTERVAL_NANOS);
         assertEquals(mShortage.onDelay(LATE_NANOS, 0), ProcessorShortage.Change.BEGUN);
         for (int run = 1; run < 5; run++) {
             assertEquals(mShortage.onDelay(0, run * INTERVAL_NANOS), ProcessorShortage.Change.NONE);
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/processor/LoopDelayProbe.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/processor/LoopDelayProbe.java
@@ -65,8 +65,8 @@
                     TimeUnit.NANOSECONDS.toMillis(mShortage.longestNanos()),
                     ThreadTimes.readMillis());
         }
-        if (mShortage.isShort()) {
-            // The end of the shortage is to be noticed also without further work.
+        if (mShortage.needsMeasurement()) {
+            // A change is to be noticed also without further work.
             onWork();
         }
     }
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/CallerSession.java
@@ -4,11 +4,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.plantainferry.engine.sessionstate.PreparedStatementDefinition;
 import org.plantainferry.engine.sessionstate.SessionState;
@@ -38,6 +36,8 @@
     private final SessionPositions mPositions = new SessionPositions();
     private final RequestQueue mQueue = new RequestQueue();
     private final Runnable mWork = new UnnestedTask(this::runWaiting);
+    private final TransactionIdleTimer mIdleTimer;
+    private final SessionWork mInstanceWork;
     private CallerWriter mWriter;
     private CallerFlow mFlow;
     private String mDatabase;
@@ -46,13 +46,14 @@
     private Optional<RunningStatement> mRunningStatement = Optional.empty();
     // The reason of a rollback that the caller has not been told yet.
     private Optional<String> mUnreportedRollback = Optional.empty();
-    private ScheduledFuture<?> mIdleTimer;
     private boolean mRunning;
     private boolean mClosed;
     private long mOperationStartNanos;
 
     CallerSession(TrafficContext traffic) {
         mTraffic = traffic;
+        mIdleTimer = new TransactionIdleTimer(traffic.loop(), this::onIdleTimeout);
+        mInstanceWork = traffic.newSessionWork();
     }
 
     @Override
@@ -123,7 +124,7 @@
     private void runWaiting() {
         while (!mRunning && !mClosed && !mQueue.isEmpty() && mFlow.mayStart()) {
             CallerMessage.Request request = mQueue.startFirst();
-            stopIdleTimer();
+            mIdleTimer.stop();
             mRunning = true;
             run(request);
         }
@@ -179,6 +180,7 @@
 
     private void completeRequest(Runnable write) {
         mRunning = false;
+        mInstanceWork.end();
         mQueue.endRunning();
         mRunningStatement = Optional.empty();
         if (mClosed) {
@@ -188,7 +190,7 @@
         if (mTransaction != null && mTraffic.hasReached(DrainStage.ENDING_OPERATIONS)) {
             rollBackIdleTransaction(SHUT_DOWN);
         } else if (mTransaction != null) {
-            startIdleTimer();
+            mIdleTimer.start(mTraffic.admission().configuration().transactionIdleMillis());
         }
         mWork.run();
     }
@@ -234,6 +236,10 @@
             refuse(request, REFUSED_BY_DRAIN);
             return;
         }
+        if (!mInstanceWork.mayBegin()) {
+            refuse(request, mTraffic.refusalForLackOfProcessor());
+            return;
+        }
         mTraffic.admission()
                 .admitOperation(
                         mDatabase, mKey, admission -> onAdmission(request, admission, next));
@@ -286,6 +292,7 @@
         }
         OpenTransaction transaction = mTransaction;
         mRunningStatement = Optional.of(transaction);
+        mInstanceWork.begin(transaction.context().route());
         transaction.commit(
                 request.id(),
                 result -> {
@@ -362,12 +369,14 @@
                                     writeResult(result);
                                 });
         mRunningStatement = Optional.of(running);
+        mInstanceWork.begin(context.route());
         running.start();
     }
 
     private void runInTransaction(CallerMessage.Request request, PreparedStatement statement) {
         if (recheckAccess(request)) {
             mRunningStatement = Optional.of(mTransaction);
+            mInstanceWork.begin(mTransaction.context().route());
             mTransaction.run(request.id(), statement, this::writeResult);
         }
     }
@@ -388,19 +397,6 @@
         fail(failed.code(), failed.reason());
     }
 
-    private void startIdleTimer() {
-        stopIdleTimer();
-        long idle = mTraffic.admission().configuration().transactionIdleMillis();
-        mIdleTimer = mTraffic.loop().schedule(this::onIdleTimeout, idle, TimeUnit.MILLISECONDS);
-    }
-
-    private void stopIdleTimer() {
-        if (mIdleTimer != null) {
-            mIdleTimer.cancel(false);
-            mIdleTimer = null;
-        }
-    }
-
     private void onIdleTimeout() {
         rollBackIdleTransaction("the transaction was idle for too long");
     }
@@ -458,7 +454,8 @@
     }
 
     private void releaseResources() {
-        stopIdleTimer();
+        mInstanceWork.end();
+        mIdleTimer.stop();
         mQueue.clear();
         mRunningStatement.ifPresent(RunningStatement::onCallerLeft);
         if (mTransaction != null) {
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/TrafficContext.java
@@ -5,9 +5,11 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.plantainferry.engine.processor.WorkLimit;
 import org.plantainferry.gateway.log.GatewayEvent;
 import org.plantainferry.gateway.processor.LoopDelayProbe;
 import org.plantainferry.gateway.spi.WireFormat;
+import org.plantainferry.gateway.statement.FailureCode;
 
 /**
  * Holds what all sessions of an instance share. Not thread-safe: used by the traffic thread only.
@@ -28,6 +30,7 @@
     private final ConnectionMemory mMemory;
     private final int mMaxSessions;
     private final LoopDelayProbe mDelayProbe;
+    private final WorkLimit mWorkLimit = new WorkLimit();
     private DrainStage mDrainStage = DrainStage.SERVING;
 
     TrafficContext(
@@ -79,6 +82,19 @@
         return mMemory;
     }
 
+    /** Returns a count of the work for a new session. */
+    SessionWork newSessionWork() {
+        return new SessionWork(mWorkLimit, mDelayProbe, mBroker::now);
+    }
+
+    /** Returns the refusal of an operation for which there is no processor time now. */
+    Admission.Refused refusalForLackOfProcessor() {
+        return new Admission.Refused(
+                FailureCode.BUSY,
+                "this instance is short of processor time",
+                mWorkLimit.retryAfterMillis(mBroker.random()));
+    }
+
     /** Returns the measure of how late the traffic thread is. */
     LoopDelayProbe delayProbe() {
         return mDelayProbe;
