Rank the representatives of a failure domain once for each list of instances

Callers saw: the seconds without service after a loss of all instances grow with the fleet. Cause: each check of the lease, every 50 to 150 ms, hashed the names of all instances up to four times, and each question for a position once more, so control work of each instance grew with the number of the others. Change: the ranking is made when the list of instances changes.

--- a/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainRepresentatives.java
+++ b/plantainferry-engine/src/main/java/org/plantainferry/engine/membership/DomainRepresentatives.java
@@ -1,7 +1,8 @@
 package org.plantainferry.engine.membership;
 
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -19,7 +20,7 @@
     private final long mSubjectHash;
     private final long mExclusionNanos;
     private final Map<String, Long> mExcludedUntilNanos = new HashMap<>();
-    private Map<String, String> mDomainByInstance = Map.of();
+    private Map<String, List<String>> mRankingByDomain = Map.of();
 
     /**
      * Creates a selection without instances.
@@ -32,10 +33,31 @@
         mExclusionNanos = TimeUnit.MILLISECONDS.toNanos(exclusionMillis);
     }
 
-    /** Replaces the known instances; {@code domains} maps each instance to its failure domain. */
+    /**
+     * Replaces the known instances; {@code domains} maps each instance to its failure domain.
+     *
+     * <p>The instances are ranked here, because {@link #representative} is called several times a
+     * second and its cost must not grow with their number.
+     */
     public void onInstances(Map<String, String> domains) {
-        mDomainByInstance = Map.copyOf(domains);
-        mExcludedUntilNanos.keySet().retainAll(mDomainByInstance.keySet());
+        Map<String, Long> scores = new HashMap<>();
+        Map<String, List<String>> rankings = new HashMap<>();
+        domains.forEach(
+                (instance, domain) -> {
+                    scores.put(
+                            instance,
+                            RendezvousScore.score(RendezvousScore.hash(instance), mSubjectHash));
+                    rankings.computeIfAbsent(domain, key -> new ArrayList<>()).add(instance);
+                });
+        rankings.values()
+                .forEach(
+                        ranking ->
+                                ranking.sort(
+                                        (first, second) ->
+                                                Long.compare(
+                                                        scores.get(second), scores.get(first))));
+        mRankingByDomain = rankings;
+        mExcludedUntilNanos.keySet().retainAll(domains.keySet());
     }
 
     /** Excludes an instance that did not answer or had no recent information. */
@@ -55,7 +77,7 @@
 
     /** Returns the failure domains that have at least one instance. */
     public Set<String> domains() {
-        return new HashSet<>(mDomainByInstance.values());
+        return Set.copyOf(mRankingByDomain.keySet());
     }
 
     /**
@@ -63,19 +85,12 @@
      * is not excluded.
      */
     public Optional<String> representative(String domain, long nowNanos) {
-        String best = null;
-        long bestScore = 0;
-        for (Map.Entry<String, String> entry : mDomainByInstance.entrySet()) {
-            if (!entry.getValue().equals(domain) || isExcluded(entry.getKey(), nowNanos)) {
-                continue;
-            }
-            long score = RendezvousScore.score(RendezvousScore.hash(entry.getKey()), mSubjectHash);
-            if (best == null || score > bestScore) {
-                best = entry.getKey();
-                bestScore = score;
+        for (String instance : mRankingByDomain.getOrDefault(domain, List.of())) {
+            if (!isExcluded(instance, nowNanos)) {
+                return Optional.of(instance);
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.empty();
     }
 
     private boolean isExcluded(String instance, long nowNanos) {
