Explain refusals for lack of processor time

Cause: plantainferry explain said of the new refusal that the configuration does not allow the request. Change: the summary names the processor, and the line PF6340 or PF6341 of each thread is shown as known state. Result: ExplainCommandTest.showsSinceWhenAnInstanceWasShortOfProcessorTime.

--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/log/DecisionSummary.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/log/DecisionSummary.java
@@ -47,6 +47,10 @@
         if (reason.contains("cannot confirm")) {
             return "It did not run: the store had not answered this instance for too long.";
         }
+        if (reason.contains("short of processor time")) {
+            return "It did not run: the instance had too little processor time; the PF6340 line"
+                    + " above shows since when, and what took it.";
+        }
         return "It did not run: the configuration does not allow it.";
     }
 
--- a/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
+++ b/plantainferry-cli/src/main/java/org/plantainferry/cli/log/KnownStateLog.java
@@ -23,6 +23,9 @@
     /** The events about a store that was restored from a copy. */
     private static final Set<String> RESTORATION_CODES = Set.of("PF6115", "PF6118");
 
+    /** The events about a thread that gets too little processor time. */
+    private static final Set<String> PROCESSOR_CODES = Set.of("PF6340", "PF6341");
+
     private static final String CONFIGURATION_CODE = "PF6101";
     private static final String SERVER_CODE = "PF6105";
     private static final String INSTANCES_CODE = "PF6106";
@@ -53,6 +56,9 @@
         if (REPLACEMENT_CODES.contains(line.code())) {
             return "replacement " + line.field("service");
         }
+        if (PROCESSOR_CODES.contains(line.code())) {
+            return "processor " + line.field("thread");
+        }
         if (ROOM_CODES.contains(line.code())) {
             return line.code() + " " + line.field("server");
         }
--- a/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
+++ b/plantainferry-cli/src/test/java/org/plantainferry/cli/ExplainCommandTest.java
@@ -97,6 +97,25 @@
         assertFalse(out.contains("s8"), out);
     }
 
+    private static final String SHORT_PROCESSOR_LOG =
+            """
+            2026-01-15T18:28:05.000Z INFO PF6001 started instance=como-1 domain=como callers=10:1
+            2026-01-15T18:28:06.000Z WARN PF6340 processor-short thread=traffic delay-ms=259 \
+            cpu-ms={CONTROL=240, TRAFFIC=60}
+            2026-01-15T18:28:07.000Z INFO PF6302 request-refused request=r6 workspace=w code=BUSY \
+            reason="this instance is short of processor time" configuration=6 limit=""
+            """;
+
+    /** Guards against a refusal for lack of processor time that reads like one of the operator. */
+    @Test
+    public void showsSinceWhenAnInstanceWasShortOfProcessorTime() {
+        assertEquals(
+                mTester.run("explain", "r6", CommandLineTester.writeFile(SHORT_PROCESSOR_LOG)), 0);
+        String out = mTester.out();
+        assertTrue(out.contains("known for 1000 ms: PF6340 processor-short thread=traffic"), out);
+        assertTrue(out.contains("the instance had too little processor time"), out);
+    }
+
     private static final String SHORT_ROOM_LOG =
             """
             2026-01-15T18:28:05.000Z INFO PF6001 started instance=como-1 domain=como callers=10:1
