Read the status of a thread in one place, and put a comment back to its method

Cause: reading the diff as a newcomer: a merge of 0 milliseconds stood for an empty catch, the comment of holdsPrimaryLease stood before another method since or earlier, and a test said too much of its load. Change: names and comments only; ThreadTimes returns the same.

--- a/plantainferry-engine/src/test/java/org/plantainferry/engine/processor/WorkLimitTest.java
+++ b/plantainferry-engine/src/test/java/org/plantainferry/engine/processor/WorkLimitTest.java
@@ -32,15 +32,16 @@
         }
     }
 
-    /** Counts what a processor of a tenth too little room serves. */
+    /** Counts what the processor has served within the objective, and what it could have. */
     private static final class Outcome {
         private int mInTime;
         private int mPossible;
     }
 
     /**
-     * Plays a processor that turns to all requests in turn. Three times as many requests arrive as
-     * it can serve; a caller gives up at its deadline, which the processor does not notice.
+     * Plays a processor that turns to all requests in turn. Nearly three times as many requests
+     * arrive as it can serve; a caller gives up at its deadline, which the processor does not
+     * notice.
      */
     private static Outcome play(WorkLimit limit) {
         Outcome outcome = new Outcome();
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/processor/ThreadTimes.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/processor/ThreadTimes.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Reads the processor time that the threads of this process have taken, by what they do.
@@ -59,7 +60,7 @@
         }
         try (DirectoryStream<Path> tasks = Files.newDirectoryStream(TASKS)) {
             for (Path task : tasks) {
-                addTask(times, task);
+                readStatus(task).ifPresent(status -> addStatus(times, status));
             }
         } catch (IOException e) {
             // What was read until then is still right, only incomplete.
@@ -68,12 +69,12 @@
         return times;
     }
 
-    private static void addTask(Map<Work, Long> times, Path task) {
+    private static Optional<String> readStatus(Path task) {
         try {
-            addStatus(times, Files.readString(task.resolve("stat")));
+            return Optional.of(Files.readString(task.resolve("stat")));
         } catch (IOException e) {
             // The thread has ended meanwhile.
-            times.merge(Work.OTHER, 0L, Long::sum);
+            return Optional.empty();
         }
     }
 
--- a/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
+++ b/plantainferry-gateway/src/main/java/org/plantainferry/gateway/traffic/ConnectionBroker.java
@@ -175,12 +175,12 @@
                                         : ServerReply.mismatched("the refusal was not confirmed")));
     }
 
-    /** Returns whether this instance may currently use any primary of a service. */
     /** Returns whether the primary of a service is lost and no replica may be promoted now. */
     boolean isPrimaryLost(String service) {
         return mLeaseGuard.isPrimaryLost(service);
     }
 
+    /** Returns whether this instance may currently use any primary of a service. */
     boolean holdsPrimaryLease(String service) {
         return mLeaseGuard.isLeaseHeld(service);
     }
