Let two waits of PlacementWaitingListTest be due at one time on a busy machine too

The test waits twice for 20 ms and takes both as woken together, which PlacementWaitingList does up to 3 ms apart; a busy machine lets more pass between the calls, and the first one runs before it is cancelled, as it should. Change: the clock of the list stands still during the two calls. What is checked is unchanged.

--- a/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PlacementWaitingListTest.java
+++ b/plantainferry-gateway/src/test/java/org/plantainferry/gateway/traffic/PlacementWaitingListTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.plantainferry.engine.scheduling.Urgency;
@@ -23,12 +24,14 @@
     private EventLoop mLoop;
     private PlacementWaitingList mList;
     private final List<String> mRun = new CopyOnWriteArrayList<>();
+    private volatile Optional<Long> mStoppedNanos = Optional.empty();
 
     @BeforeMethod
     public void start() {
         mRun.clear();
+        mStoppedNanos = Optional.empty();
         mLoop = new DefaultEventLoop();
-        mList = new PlacementWaitingList(mLoop, System::nanoTime);
+        mList = new PlacementWaitingList(mLoop, this::nowNanos);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -36,6 +39,10 @@
         mLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
+    private long nowNanos() {
+        return mStoppedNanos.orElseGet(System::nanoTime);
+    }
+
     private PlacementWaitingList.Entry await(String name, int priority, long millis) {
         long now = System.nanoTime();
         long deadline = now + TimeUnit.MILLISECONDS.toNanos(2 * LONG_MILLIS);
@@ -86,6 +93,8 @@
     public void anActionMayWaitAgainOrCancelAnother() throws Exception {
         mLoop.submit(
                         () -> {
+                            // On a busy machine, the second one would be due some time later.
+                            mStoppedNanos = Optional.of(System.nanoTime());
                             PlacementWaitingList.Entry cancelled = await("no", 5, 20);
                             long now = System.nanoTime();
                             mList.await(
@@ -95,6 +104,7 @@
                                         mList.cancel(cancelled);
                                         await("again", 0, 20);
                                     });
+                            mStoppedNanos = Optional.empty();
                         })
                 .get();
         awaitRuns(1);
